Count failures as pressure only where answers report pressure at all

The mean of reported pressure heard a 1.0 for each failure, and nothing from answers whose reports hold only qps and inflight. It rose with every failure, never fell, and closed admission to a fleet well within its aims.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1018,11 +1018,12 @@
             self.backends[i].in_flight = self.backends[i].in_flight.saturating_sub(1);
             self.close_idle(now, i, out);
             self.connections(now, i, outcome, out);
-            // A backend that fails or refuses fast looks idle: its failures count as full pressure.
+            // A backend that fails or refuses fast looks idle: its failures count as full pressure. Only among
+            // answers that tell theirs: where none does, failures alone would make up the fleet's mean.
             let heard = match outcome {
                 Outcome::Done => self.reported(class, load),
                 Outcome::Cancelled | Outcome::Skipped => None,
-                _ => Some(1.0).filter(|_| self.s.reporting != Reporting::None),
+                _ => Some(1.0).filter(|_| self.pressure > 0.0),
             };
             if let Some(value) = heard {
                 // One that follows another soon counts less: it is noise of the same moment.
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -775,6 +775,28 @@
     assert!(at_bad < 30, "{at_bad} of 100 sent first to one that fails");
 }
 
+#[test]
+fn failures_are_no_pressure_where_answers_do_not_tell_theirs() {
+    // Found on sockets: reports of `qps` and `inflight` tell no pressure, so a mean of pressure that heard
+    // failures alone rose with each of them and closed a fleet that answered well within the aim.
+    let mut s = safe(6).s;
+    (s.reporting, s.probes, s.instances) = (Reporting::Answers, false, 2);
+    let mut w = World::with_backends(s, 1, 6);
+    w.warm_up(100, 0, 20.0);
+    let report = Load { in_hand: Some(2.0), rate: Some(30.0), ..Load::default() };
+    let mut refused = 0;
+    for n in 0..1000 {
+        let id = w.ask(0, Some(n % 50));
+        refused += usize::from(w.at(id).is_none());
+        w.wait(20.0);
+        if n % 3 == 0 {
+            w.end(id, Outcome::Error);
+        }
+        w.end_with(id, Outcome::Done, report);
+    }
+    assert_eq!(refused, 0, "of 1000 while one answer in three is an error and all others are quick");
+}
+
 #[test]
 fn clients_in_a_hurry_are_served_where_a_late_answer_has_worth() {
     let mut s = sparse(1).s;
