Spill for as long as a server is usable: drop the budget of spills

With both keyed candidates blocked and the budget spent, requests were refused while servers had room; DESIGN sends them to the usable server with the fewest in flight.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -294,9 +294,8 @@
     /// Requests a second of each tenant at this node.
     tenants: Vec<f64>,
     tenant_count: Vec<u32>,
-    /// Tokens for further attempts and for spills.
+    /// Tokens for further attempts.
     retry: f64,
-    spill: f64,
 }
 
 #[derive(Debug)]
@@ -385,7 +384,6 @@
                 tenants: vec![0.0; tenants],
                 tenant_count: vec![0; tenants],
                 retry: 3.0,
-                spill: 3.0,
                 ..Admission::default()
             },
             fleet_failing: 0.0,
@@ -742,15 +740,9 @@
         if keyed.is_some() {
             return keyed;
         }
-        // A spilled key is work anew at a backend that has not met it: spills keep to a budget.
-        if self.s.warm_keys && self.admission.spill < 1.0 {
-            return None;
-        }
         let free = self.places.iter().filter(|p| usable(p.index));
         let ranked = free.map(|p| (self.backends[p.index].in_flight, rank(p), p.index));
-        let (.., index) = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
-        self.admission.spill = (self.admission.spill - 1.0).max(0.0);
-        Some(index)
+        ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., index)| index)
     }
 
     /// A class fails at this backend far more often than at large: its keys have their candidates among the
@@ -865,7 +857,6 @@
             self.keys.note(mix(key));
         }
         self.admission.retry = (self.admission.retry + 0.1).min(10.0);
-        self.admission.spill = (self.admission.spill + 0.02).min(10.0);
         let id = request.id;
         let aim_at = now + (aim - age).max(0.0);
         let open = Open { request, arrived: now, aim_at, worth, finished: false, attempts: Vec::new() };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -165,6 +165,21 @@
     assert!(w.at(id).is_some(), "the cap recovers");
 }
 
+#[test]
+fn spills_go_on_for_as_long_as_a_backend_is_usable() {
+    // Found on sockets: where servers remember keys, spills kept to a budget. With that spent, requests were
+    // refused while backends with room stood idle.
+    let mut w = safe(10);
+    w.s.warm_keys = true;
+    let mut w = World::with_backends(w.s, 1, 10);
+    for _ in 0..20 {
+        w.ask(0, Some(7));
+    }
+    let held: std::collections::BTreeSet<_> = w.asked.keys().filter_map(|id| w.at(*id)).collect();
+    assert_eq!(held.len(), 10, "all that are usable are used");
+    assert!(w.asked.values().all(|a| a.answer.is_none()), "refused while a backend was usable");
+}
+
 // ---- failures found ----
 
 #[test]
