--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1140,9 +1140,9 @@
         // one.
         let most = 1.0 + tries * (0.25 + 3.0 * self.fleet_failing);
         // A backend that has just fallen silent has a window full of old answers: a run of failures
-        // that chance would bring once in two hundred trips it too.
+        // that chance would bring once in two hundred trips it too, as far as it is within the window.
         let run = 1.0 + 0.005_f64.ln() / self.fleet_failing.clamp(0.02, 0.95).ln();
-        if !b.record.congested && (failures > most || f64::from(b.record.doubt) > run) {
+        if !b.record.congested && (failures > most || failures.min(f64::from(b.record.doubt)) > run) {
             let t = self.pause(0);
             let b = &mut self.backends[i];
             b.record.congested = true;
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -62,6 +62,18 @@
     assert!(w.at(id).is_some(), "the first failure is out of the window");
 }
 
+#[test]
+fn a_run_of_failures_counts_within_the_window_alone() {
+    // Found on sockets: "congested: 1 failures of 1", where the others of the run were long out of the window.
+    let mut w = safe(1);
+    for _ in 0..6 {
+        let id = w.ask(0, Some(1));
+        w.end(id, Outcome::Reset);
+        w.wait(11_000.0);
+    }
+    assert!(w.logs.is_empty(), "one failure in N seconds: {:?}", w.logs);
+}
+
 #[test]
 fn after_prat_one_trial_decides() {
     let mut w = safe(1);
