--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,6 +14,8 @@
 const BUCKETS: usize = 16;
 /// Log lines a node may write in its life.
 const LOG_LINES: u32 = 200;
+/// How often one of them may tell of refusals, in milliseconds.
+const TELL_REFUSED_MS: f64 = 10_000.0;
 const TICK: u64 = 1;
 const ASK: u64 = 2;
 
@@ -289,6 +291,15 @@
     retry: f64,
 }
 
+/// Requests refused since the last log line on them, by reason.
+#[derive(Debug, Default)]
+struct Refused {
+    too_late: u32,
+    shed: u32,
+    crowded: u32,
+    blocked: u32,
+}
+
 #[derive(Debug)]
 struct Attempt {
     backend: BackendId,
@@ -341,6 +352,8 @@
     ticked: f64,
     ask_failures: u32,
     logged: u32,
+    refused: Refused,
+    refused_told: f64,
 }
 
 fn mix(mut h: u64) -> u64 {
@@ -388,6 +401,8 @@
             ticked: 0.0,
             ask_failures: 0,
             logged: 0,
+            refused: Refused::default(),
+            refused_told: 0.0,
             s,
         })
     }
@@ -451,6 +466,23 @@
         }
     }
 
+    /// Says now and then why requests were refused, where any were.
+    fn tell_refused(&mut self, now: f64, out: &mut Vec<Action>) {
+        let Refused { too_late, shed, crowded, blocked } = self.refused;
+        if now - self.refused_told < TELL_REFUSED_MS || too_late + shed + crowded + blocked == 0 {
+            return;
+        }
+        (self.refused, self.refused_told) = (Refused::default(), now);
+        let up = self.backends.iter().filter(|b| b.up).count();
+        let congested = self.backends.iter().filter(|b| b.up && b.record.congested).count();
+        let text = format!(
+            "refused: {too_late} too late, {shed} shed, {crowded} crowded, {blocked} with every way blocked; \
+             {congested} of {up} congested, level {:.2}, strain {:.2}",
+            self.admission.level, self.admission.strain
+        );
+        self.log(text, out);
+    }
+
     // ---- the list ----
 
     fn find(&self, id: BackendId) -> Option<usize> {
@@ -567,6 +599,7 @@
         let shut = |b: &&Backend| b.up && (b.record.congested || b.cap.blocks(now, b.in_flight));
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
+        self.tell_refused(now, out);
         for b in self.backends.iter().filter(|b| now < b.close_until) {
             out.push(Action::Release(b.id));
         }
@@ -805,17 +838,21 @@
         let mean = self.learned.get(request.class).map_or(1.0, |l| l.mean.max(1.0));
         let cost = request.effort_ms.filter(|e| e.is_finite() && *e > 0.0).unwrap_or(mean);
         let mut let_in = worth > 0.0;
+        self.refused.too_late += u32::from(!let_in);
         if let Some(offered) = self.admission.offered.get_mut(request.class) {
             let o = usize::from(over || age >= aim);
             offered[o] += cost;
             let chance = self.admission.chance[request.class][o];
-            let_in = let_in && (chance >= 1.0 || self.rng.f64() < chance);
+            let kept = chance >= 1.0 || !let_in || self.rng.f64() < chance;
+            self.refused.shed += u32::from(!kept);
+            let_in = let_in && kept;
             let room = self.admission.room * FIRST_CROWD * self.places.len() as f64
                 / f64::from(self.s.instances.max(1));
             // Where that is a few requests, chance alone exceeds it.
             let room = (room + 3.0 * room.sqrt()).max(1.0) * self.admission.part[request.class][o];
             let crowded = self.s.reporting != Reporting::None && f64::from(self.in_flight) + 1.0 > room;
             self.admission.crowded |= crowded;
+            self.refused.crowded += u32::from(let_in && crowded);
             let_in = let_in && !crowded;
         }
         if let Some(key) = request.key {
@@ -858,6 +895,7 @@
             let worth = self.open.get(&id).map_or(0.0, |o| o.worth);
             self.admission.bad += worth * self.admission.blocked;
             self.admission.seen += self.admission.blocked;
+            self.refused.blocked += 1;
             self.answer(now, id, out);
             return;
         };
