--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1012,8 +1012,8 @@
             self.backends[i].in_flight = self.backends[i].in_flight.saturating_sub(1);
             self.close_idle(now, i, out);
             self.connections(now, i, outcome, out);
-            // A backend that fails or refuses fast looks idle: its failures count as full pressure. Only among
-            // answers that tell theirs: where none does, failures alone would make up the fleet's mean.
+            // A backend that fails or refuses fast looks idle: its failures count as full pressure. Only
+            // among answers that tell theirs: where none does, failures alone would make up the fleet's mean.
             let heard = match outcome {
                 Outcome::Done => self.reported(class, load),
                 Outcome::Cancelled | Outcome::Skipped => None,
@@ -1203,7 +1203,8 @@
             return;
         }
         // Back after nobody was there: it may have restarted, and the list is late to say so. One that was
-        // only slow, or lost a connection, is as warm as before: held for cold, it would serve next to nothing.
+        // only slow, or lost a connection, is as warm as before: held for cold, it would serve next to
+        // nothing.
         let cold = if b.record.away { ", held for cold" } else { "" };
         if b.record.away {
             b.cold_since = now;
