--- a/src/balance.rs
+++ b/src/balance.rs
@@ -474,10 +474,10 @@
         }
         (self.refused, self.refused_told) = (Refused::default(), now);
         let up = self.backends.iter().filter(|b| b.up).count();
-        let congested = self.backends.iter().filter(|b| b.up && b.record.congested).count();
+        let live = self.backends.iter().filter(|b| b.up && !b.record.congested).count();
         let text = format!(
             "refused: {too_late} too late, {shed} shed, {crowded} crowded, {blocked} with every way blocked; \
-             {congested} of {up} congested, level {:.2}, strain {:.2}",
+             {live} of {up} live, level {:.2}, strain {:.2}",
             self.admission.level, self.admission.strain
         );
         self.log(text, out);
