Take calls of operators on a console: ready, drain and resume

Design: a file of its own parses a line, calls, and answers. A drain is the server's: /up says no, each answer closes its connection, and after a second idle ones are closed. Not taken: closing all idle connections at the call, which crosses requests on their way.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -20,6 +20,8 @@
     pub sockets: usize,
     /// Memory that it may take, in bytes.
     pub memory: usize,
+    /// Where operators call; none where the node takes no calls.
+    pub console: Option<SocketAddr>,
     /// Where datagrams of other nodes arrive.
     pub peer_listen: Option<SocketAddr>,
     /// The nodes of the tier, by number.
@@ -142,6 +144,7 @@
             seed,
             sockets: limit("sockets", 1024)?,
             memory: limit("memory_mb", 192)?.saturating_mul(1024 * 1024),
+            console: address_of(json, "console", word("LB_CONSOLE"))?,
             peer_listen: address_of(json, "peer_listen", None)?,
             peers,
             peers_all: address_of(json, "peers_all", None)?,
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -1,6 +1,7 @@
 //! One node: the decisions of the crate `birchspoke` on real sockets.
 
 mod config;
+mod console;
 mod discovery;
 mod driver;
 mod log;
@@ -11,6 +12,7 @@
 mod upstream;
 
 use crate::config::Config;
+use crate::console::Console;
 use crate::discovery::{Listing, Watch};
 use crate::driver::{Driver, Input};
 use crate::peers::Peers;
@@ -74,6 +76,10 @@
     let hangup = signal(SignalKind::hangup())?;
     let config = Config::load().map_err(|e| format!("configuration: {e}"))?;
     let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let console = match config.console {
+        Some(at) => Some(Console::bind(at).map_err(|e| format!("console: {at}: {e}"))?),
+        None => None,
+    };
     let settings = config.settings.clone();
     let descriptors = Descriptors::new(config.sockets);
     let buffer = (config.memory / BUFFERS_PART / config.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
@@ -121,8 +127,15 @@
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
     let reader = Reader::new(names, settings.classes, config.memory / BODIES_PART);
     let open_cap = settings.open_cap as usize;
-    let server = Server::new(driver.clone(), reader, open_cap, buffer, descriptors);
-    log::line(&format!("{} serves on {}", config.name, config.listen));
+    let server = Server::new(driver.clone(), reader, open_cap, buffer, descriptors.clone());
+    if let Some(console) = console {
+        spawn_local(Console::new(server.clone(), descriptors).accept(console));
+    }
+    let at = listener.local_addr().unwrap_or(config.listen);
+    log::line(&format!(
+        "{} serves on {at}, peers {:?}, console {:?}",
+        config.name, config.peer_listen, config.console
+    ));
     let accepting = {
         let server = server.clone();
         spawn_local(async move { server.accept(listener).await })
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -42,6 +42,9 @@
 const QUIET: Duration = Duration::from_millis(150);
 /// But so long at most: SIGKILL would find unanswered what is taken later.
 const ACCEPT_END: Duration = Duration::from_millis(1500);
+/// A drained node leaves so much time to requests that are on their way on connections it has answered on.
+const LEAVE: Duration = Duration::from_millis(1000);
+const LEAVE_TURN: Duration = Duration::from_millis(100);
 
 /// One client connection.
 struct Client {
@@ -152,6 +155,8 @@
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     stopping: Cell<Option<Instant>>,
+    /// Since when operators want no clients here.
+    drained: Cell<Option<Instant>>,
     stop: Notify,
     closed: Notify,
 }
@@ -174,6 +179,7 @@
             clients: RefCell::default(),
             next: Cell::new(0),
             stopping: Cell::new(None),
+            drained: Cell::new(None),
             stop: Notify::new(),
             closed: Notify::new(),
         });
@@ -261,6 +267,45 @@
         self.stop.notify_one();
     }
 
+    /// Takes clients: some backend could serve them, and nobody wants them elsewhere.
+    pub fn ready(&self) -> bool {
+        self.driver.ready() && !self.leaving()
+    }
+
+    fn leaving(&self) -> bool {
+        self.stopping.get().is_some() || self.drained.get().is_some()
+    }
+
+    /// Sends clients away: `/up` says no, every answer closes its connection, and idle ones are closed.
+    pub fn drain(self: &Rc<Self>) -> Result<&'static str, &'static str> {
+        if self.stopping.get().is_some() {
+            return Err("this process has been told to stop");
+        }
+        if self.drained.get().is_some() {
+            return Ok("drained already");
+        }
+        let since = Instant::now();
+        self.drained.set(Some(since));
+        let server = self.clone();
+        spawn_local(async move {
+            tokio::time::sleep(LEAVE).await;
+            while server.drained.get() == Some(since) {
+                server.close_idle();
+                tokio::time::sleep(LEAVE_TURN).await;
+            }
+        });
+        Ok("drained: clients are sent away")
+    }
+
+    /// Takes clients again.
+    pub fn resume(&self) -> Result<&'static str, &'static str> {
+        match (self.stopping.get(), self.drained.take()) {
+            (Some(_), _) => Err("this process has been told to stop"),
+            (None, Some(_)) => Ok("takes clients again"),
+            (None, None) => Ok("was not drained"),
+        }
+    }
+
     fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
@@ -340,12 +385,11 @@
         } else if path != "/up" {
             farewell(StatusCode::NOT_FOUND, "no such path\n")
         } else if matches!(head.method, Method::GET | Method::HEAD) {
-            let ready = self.driver.ready() && self.stopping.get().is_none();
-            plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+            plain(if self.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
             farewell(StatusCode::METHOD_NOT_ALLOWED, "")
         };
-        if self.stopping.get().is_some() || self.crowded() {
+        if self.leaving() || self.crowded() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -341,26 +341,62 @@
 
     /// Starts one by a shell command in which `$0` is the program.
     pub fn launch(discovery: SocketAddr, change: impl FnOnce(&mut Value), command: &str) -> Node {
-        let address = free_address();
+        Node::spawn(discovery, free_address(), change, command, |_| {})
+    }
+
+    /// Starts one that inherits a listening socket as descriptor 3, without waiting for it.
+    pub fn inherit(
+        discovery: SocketAddr,
+        listener: &TcpListener,
+        tmp: &std::path::Path,
+        change: impl FnOnce(&mut Value),
+    ) -> Node {
+        let socket = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
+        let address = listener.local_addr().unwrap();
+        Node::spawn(discovery, address, change, "exec \"$0\" 3<&0 0</dev/null", |c| {
+            c.stdin(socket).env("LB_INHERITED_FD", "3").env("TMPDIR", tmp);
+        })
+    }
+
+    fn spawn(
+        discovery: SocketAddr,
+        address: SocketAddr,
+        change: impl FnOnce(&mut Value),
+        command: &str,
+        set_up: impl FnOnce(&mut Command),
+    ) -> Node {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
         let mut config = json!({
             "name": "n0", "listen": address.to_string(), "discovery": discovery.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"rev": 0, "all": true, "targets": []}, "settings": settings()
         });
         change(&mut config);
-        let name = format!("applemill-test-{}-{}.json", std::process::id(), address.ip());
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("applemill-test-{}-{n}.json", std::process::id());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config.to_string()).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut start = Command::new("/bin/sh");
+        start
             .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
             .env("LB_CONFIG", &file)
             .env("LB_DISCOVERY", discovery.to_string())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+            .stderr(Stdio::piped());
+        set_up(&mut start);
+        let child = start.spawn().unwrap();
         Node { address, child, file, config }
     }
 
+    /// Where operators call, as it was told.
+    pub fn console(&self) -> SocketAddr {
+        self.config["console"].as_str().unwrap().parse().unwrap()
+    }
+
+    /// What the console answers to a line.
+    pub fn call(&self, line: &str) -> String {
+        call(self.console(), format!("{line}\n").as_bytes())
+    }
+
     /// Replaces the configuration and has it read.
     pub fn reload(&mut self, discovery: SocketAddr) {
         self.config["discovery"] = discovery.to_string().into();
@@ -435,6 +471,16 @@
     }
 }
 
+/// What a console answers to some bytes, all of it up to its close.
+pub fn call(console: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect_timeout(&console, PATIENCE).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
--- /dev/null
+++ b/tests/node_console.rs
@@ -0,0 +1,144 @@
+//! The operators' console: what it answers, to whom, and what a drain does.
+mod node;
+
+use node::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// A node with a console and backends that say "ok".
+fn start(backends_up: usize) -> (Node, Record) {
+    let record = Record::default();
+    let discovery = Discovery::start(all_up(&backends(backends_up, &record, |_, _| ok(b"ok"))));
+    let node = Node::start(discovery.address, |c| c["console"] = free_address().to_string().into());
+    (node, record)
+}
+
+#[test]
+fn a_call_is_one_line_and_so_is_its_answer() {
+    let (node, _) = start(1);
+    for line in ["ready", "  ready  ", "ready\r", "ready\nready"] {
+        assert_eq!(node.call(line), "done takes clients\n", "{line:?}");
+    }
+}
+
+#[test]
+fn a_node_with_nobody_to_send_to_is_not_ready() {
+    let discovery = Discovery::start(Vec::new());
+    let change = |c: &mut serde_json::Value| c["console"] = free_address().to_string().into();
+    let node = Node::launch(discovery.address, change, "exec \"$0\"");
+    wait_for("the console is there", || TcpStream::connect(node.console()).is_ok());
+    assert_eq!(node.call("ready"), "error takes no clients\n");
+}
+
+#[test]
+fn what_is_no_call_gets_one_line_that_says_why() {
+    let (node, _) = start(1);
+    let long = "x".repeat(300);
+    for (bytes, why) in [
+        (&b"\n"[..], "the line is empty"),
+        (b"READY\n", "unknown call \"READY\""),
+        (b"ready now\n", "words too many behind ready"),
+        (b"disable-server\n", "disable-server wants the id of a server"),
+        (b"enable-server \n", "enable-server wants the id of a server"),
+        (b"enable-server a b\n", "words too many behind enable-server ID"),
+        (b"ready \xff\xfe\n", "the line is not text"),
+        (b"ready\0\n", "the line is not text"),
+        (long.as_bytes(), "the line is longer than 256 bytes"),
+        (b"read", "no whole line came"),
+        (b"", "no whole line came"),
+    ] {
+        let answer = call(node.console(), bytes);
+        assert!(answer.starts_with("error "), "{answer:?}");
+        assert!(answer.contains(why), "{answer:?} does not say {why:?}");
+        assert_eq!(answer.matches('\n').count(), 1, "{answer:?}");
+    }
+    assert_eq!(node.up(), 200);
+}
+
+#[test]
+fn callers_that_say_nothing_do_not_keep_others_out() {
+    let (node, _) = start(1);
+    let mut silent: Vec<_> = (0..100).map(|_| TcpStream::connect(node.console()).unwrap()).collect();
+    silent.iter_mut().for_each(|s| s.write_all(b"rea").unwrap());
+    assert_eq!(node.call("ready"), "done takes clients\n");
+    assert!(node.descriptors() < 60, "{} descriptors", node.descriptors());
+    // The last of them is still there and may finish its call.
+    let mut last = silent.pop().unwrap();
+    last.write_all(b"dy\n").unwrap();
+    let mut answer = String::new();
+    last.set_read_timeout(Some(PATIENCE)).unwrap();
+    last.read_to_string(&mut answer).unwrap();
+    assert_eq!(answer, "done takes clients\n");
+}
+
+#[test]
+fn a_node_without_a_console_listens_nowhere_else() {
+    let record = Record::default();
+    let discovery = Discovery::start(all_up(&backends(1, &record, |_, _| ok(b"ok"))));
+    let console = free_address();
+    let _node = Node::start(discovery.address, |_| {});
+    assert!(TcpStream::connect(console).is_err());
+}
+
+#[test]
+fn a_console_that_cannot_be_bound_ends_the_start_with_its_name() {
+    let discovery = Discovery::start(Vec::new());
+    let taken = std::net::TcpListener::bind(loopback(0)).unwrap();
+    for (value, why) in [
+        (taken.local_addr().unwrap().to_string(), "console: 127.0.0.1:"),
+        ("nowhere".to_owned(), "console: \"nowhere\" is not an address and port"),
+    ] {
+        let mut node = Node::launch(discovery.address, |c| c["console"] = value.into(), "exec \"$0\"");
+        assert!(!node.ended().success());
+        let log = node.log();
+        assert!(log.contains(why), "{log}");
+    }
+}
+
+#[test]
+fn a_drained_node_sends_clients_away_and_takes_them_again() {
+    let (mut node, record) = start(2);
+    let mut idle = Client::connect(node.address);
+    let mut used = Client::connect(node.address);
+    assert_eq!(idle.ask(&request("page", 4000)).status(), 200);
+    assert_eq!(used.ask(&request("page", 4000)).header("connection"), None);
+    for _ in 0..2 {
+        assert!(node.call("drain").starts_with("done "));
+        assert_eq!(node.up(), 503);
+    }
+    assert_eq!(node.call("ready"), "error takes no clients\n");
+    // What is asked on an open connection is answered, and the connection ends with it.
+    let last = used.ask(&request("page", 4000));
+    assert_eq!((last.status(), last.header("connection")), (200, Some("close")));
+    assert!(used.answer().is_none());
+    // So does one that asks nothing more.
+    assert!(idle.answer().is_none(), "an idle connection is closed");
+    // Who comes all the same is served.
+    assert_eq!(ask(node.address, &request("page", 4000)).status(), 200);
+    for _ in 0..2 {
+        assert!(node.call("resume").starts_with("done "));
+        assert_eq!(node.up(), 200);
+    }
+    let mut kept = Client::connect(node.address);
+    assert_eq!(kept.ask(&request("page", 4000)).header("connection"), None);
+    assert_eq!(kept.ask(&request("page", 4000)).status(), 200);
+    assert_eq!(record.count(), 6);
+    assert!(node.call("drain").starts_with("done "));
+    node.terminate();
+    assert!(node.ended().success(), "a drained node ends as any other does");
+}
+
+#[test]
+fn a_request_under_way_is_answered_through_a_drain() {
+    let record = Record::default();
+    let rest = Duration::from_millis(1200);
+    let slow = move |_, _: &Message| Act::SayAndThen(Vec::new(), rest, reply("200 OK", "", b"late"));
+    let discovery = Discovery::start(all_up(&backends(1, &record, slow)));
+    let node = Node::start(discovery.address, |c| c["console"] = free_address().to_string().into());
+    let mut client = Client::connect(node.address);
+    client.send(&request("page", 4000));
+    wait_for("it is under way", || record.count() == 1);
+    assert!(node.call("drain").starts_with("done "));
+    assert_eq!(client.answer().unwrap().body, b"late");
+}
