Serve on the inherited listening socket, and share the address for messages

With the inherited socket alone it was 'peer_listen: Address already in use' []: the new process gets a new console address, the one for messages stays.

The socket for messages is bound with SO_REUSEPORT where a socket was inherited; not taken: binding it only when the old process has gone, which makes a node deaf for the time of two.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -4,6 +4,7 @@
 mod console;
 mod discovery;
 mod driver;
+mod handover;
 mod log;
 mod peers;
 mod request;
@@ -70,12 +71,18 @@
     }
 }
 
-async fn run() -> Result<(), Box<dyn Error>> {
+async fn run(inherited: Option<std::net::TcpListener>) -> Result<(), Box<dyn Error>> {
     // Before all else: what these signals do by default is to end the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     let config = Config::load().map_err(|e| format!("configuration: {e}"))?;
-    let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    // Where the platform holds the listening socket, another process may serve beside this one.
+    let shared = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener),
+        None => listen(&config),
+    };
+    let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let console = match config.console {
         Some(at) => Some(Console::bind(at).map_err(|e| format!("console: {at}: {e}"))?),
         None => None,
@@ -87,7 +94,7 @@
         Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms, buffer);
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
         Some(at) => {
-            let peers = Peers::new(at, config.peers, config.peers_all, settings.slot).await;
+            let peers = Peers::new(at, shared, config.peers, config.peers_all, settings.slot);
             Some(Rc::new(peers.map_err(|e| format!("peer_listen: {at}: {e}"))?))
         }
         None => None,
@@ -154,6 +161,14 @@
 }
 
 fn main() -> ExitCode {
+    // Before anything is opened: what is open now was inherited.
+    let inherited = match handover::inherited() {
+        Ok(inherited) => inherited,
+        Err(e) => {
+            log::line(&e.to_string());
+            return ExitCode::FAILURE;
+        }
+    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
@@ -161,7 +176,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match LocalSet::new().block_on(&runtime, run()) {
+    match LocalSet::new().block_on(&runtime, run(inherited)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::line(&e.to_string());
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::{Driver, Input};
 use crate::log;
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,14 +20,20 @@
 }
 
 impl Peers {
-    /// Listens at `listen`; `own` is this node's number among `nodes`.
-    pub async fn new(
+    /// Listens at `listen`; `own` is this node's number among `nodes`. A `shared` address is also that of the
+    /// process before this one or after it, for as long as there are two: each message reaches one of them.
+    pub fn new(
         listen: SocketAddr,
+        shared: bool,
         nodes: Vec<SocketAddr>,
         all: Option<SocketAddr>,
         own: u32,
     ) -> std::io::Result<Peers> {
-        Ok(Peers { socket: UdpSocket::bind(listen).await?, nodes, all, own })
+        let socket = Socket::new(Domain::for_address(listen), Type::DGRAM, None)?;
+        socket.set_reuse_port(shared)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&listen.into())?;
+        Ok(Peers { socket: UdpSocket::from_std(socket.into())?, nodes, all, own })
     }
 
     /// Sends to one node or to all others. A message that cannot go is lost, as any may be.
@@ -84,8 +91,8 @@
     #[tokio::test]
     async fn messages_go_both_ways_and_strangers_are_not_heard() -> std::io::Result<()> {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let mut a = Peers::new(any, Vec::new(), None, 0).await?;
-        let mut b = Peers::new(any, Vec::new(), None, 1).await?;
+        let mut a = Peers::new(any, false, Vec::new(), None, 0)?;
+        let mut b = Peers::new(any, false, Vec::new(), None, 1)?;
         let stranger = UdpSocket::bind(any).await?;
         let nodes = vec![a.socket.local_addr()?, b.socket.local_addr()?];
         (a.nodes, b.nodes) = (nodes.clone(), nodes.clone());
