--- a/src/balance.rs
+++ b/src/balance.rs
@@ -117,9 +117,6 @@
     units: f64,
     /// Listed and up; sends elsewhere are against the drain rule.
     up: bool,
-    /// Until when idle connections are closed again at each tick: one whose handshake was under way at the
-    /// notice, or at the last outcome, turns idle later. 0 where nothing is to be closed.
-    close_until: f64,
     in_flight: u32,
     /// Time that this node's attempts have lately spent in flight here, in milliseconds; it fades.
     held_ms: f64,
@@ -533,7 +530,6 @@
                     cell: e.cell,
                     units: 1.0,
                     up: false,
-                    close_until: 0.0,
                     in_flight: 0,
                     held_ms: 0.0,
                     cold_since: ready,
@@ -559,27 +555,10 @@
             b.units = if e.units.is_finite() && e.units > 0.0 { e.units } else { 1.0 };
             b.up = e.health == Health::Up;
         }
-        for i in 0..self.backends.len() {
-            if self.backends[i].up {
-                self.backends[i].close_until = 0.0;
-            } else if self.backends[i].close_until == 0.0 {
-                self.close_idle(now, i, out);
-            }
-        }
-        self.backends.retain(|b| b.up || b.in_flight > 0 || b.close_until > now);
+        self.backends.retain(|b| b.up || b.in_flight > 0);
         self.place(now);
     }
 
-    /// Gives back the idle connections to a backend that drains, where a time is set for that: at the notice
-    /// and at every outcome there, and at each tick for half the time allowed after either.
-    fn close_idle(&mut self, now: f64, index: usize, out: &mut Vec<Action>) {
-        let b = &mut self.backends[index];
-        if let Some(within) = self.s.drain_close_ms.filter(|_| !b.up) {
-            b.close_until = now + within / 2.0;
-            out.push(Action::Release(b.id));
-        }
-    }
-
     /// Rebuilds the table that keyed candidates are looked up in.
     fn place(&mut self, now: f64) {
         let far = |b: &Backend| self.s.zone.is_some_and(|z| z != b.zone) && self.s.prices.cross_zone > 0.0;
@@ -618,9 +597,6 @@
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
         self.tell_refused(now, out);
-        for b in self.backends.iter().filter(|b| now < b.close_until) {
-            out.push(Action::Release(b.id));
-        }
         // Trials by probe, one at a time, for backends past their PRAT.
         if self.s.probes {
             for b in self.backends.iter_mut().filter(|b| b.up && b.record.trial_due(now)) {
@@ -1022,7 +998,6 @@
         if let Some(i) = self.find(backend) {
             self.backends[i].in_flight = self.backends[i].in_flight.saturating_sub(1);
             self.backends[i].held_ms += elapsed;
-            self.close_idle(now, i, out);
             self.connections(now, i, outcome, out);
             // A backend that fails or refuses fast looks idle: its failures count as full pressure. Only
             // among answers that tell theirs: where none does, failures alone would make up the fleet's mean.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -215,8 +215,6 @@
     pub late_shedding: bool,
     /// Sends to a backend end within this of the notice that it drains or is gone.
     pub drain_grace_ms: f64,
-    /// Idle connections to one that drains are closed within this, if told.
-    pub drain_close_ms: Option<f64>,
     /// Asked discovery: a node silent for this long is deemed told.
     pub must_ask_in_ms: f64,
     /// Batches come at most this often.
@@ -238,7 +236,6 @@
             ("rules.fallMultiple", self.fall_multiple, 0.0),
             ("rules.startCapacity", self.start_capacity, 0.0),
             ("rules.drainGraceMs", self.drain_grace_ms, 0.0),
-            ("rules.drainCloseMs", self.drain_close_ms.unwrap_or(1.0), f64::MIN_POSITIVE),
             ("limits.maxRetryAfterMs", self.max_retry_after_ms, 0.0),
             ("rules.mustAskInMs", self.must_ask_in_ms, 0.0),
             ("limits.connIdleMs", self.conn_idle_ms, 0.0),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -468,10 +468,6 @@
         fall_ms: figure(&v, "rules.fallMs", None)?,
         late_shedding: truth(&v, "rules.lateShedding")?,
         drain_grace_ms: f("rules.drainGraceMs", 0.0)?,
-        drain_close_ms: match figure(&v, "rules.drainCloseMs", Some(0.0))? {
-            ms if ms > 0.0 => Some(ms),
-            _ => None,
-        },
         must_ask_in_ms: f("rules.mustAskInMs", 10000.0)?,
         tick_ms: f("tickMs", 1.0)?,
     };
