Drop trials by probe: this deployment allows no probes

Bid servers may not be probed here (limits.probing is off), so a trial is always a request; the branch that probed was never taken. The result of a probe is still read from the wire and ignored.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -420,13 +420,7 @@
             Event::Left(id) => self.on_left(id, out),
             Event::Timer(TICK) => self.on_tick(now, out),
             Event::Timer(ASK) => out.push(Action::Watch(true)),
-            Event::Probed { backend, outcome, .. } => {
-                if let Some(i) = self.find(backend).filter(|&i| self.backends[i].record.trial_out) {
-                    let done = outcome == Outcome::Done;
-                    self.trial_over(now, i, done, !done, out);
-                }
-            }
-            Event::Timer(_) | Event::Started { .. } | Event::Message { .. } => {}
+            Event::Timer(_) | Event::Started { .. } | Event::Message { .. } | Event::Probed { .. } => {}
         }
     }
 
@@ -597,13 +591,6 @@
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
         self.tell_refused(now, out);
-        // Trials by probe, one at a time, for backends past their PRAT.
-        if self.s.probes {
-            for b in self.backends.iter_mut().filter(|b| b.up && b.record.trial_due(now)) {
-                b.record.trial_out = true;
-                out.push(Action::Probe(b.id));
-            }
-        }
     }
 
     /// Requests a second that this node may send a cold backend. All nodes together may send
@@ -773,8 +760,7 @@
     /// Neither congested, nor capped, nor out of cold budget, nor tried before by this request.
     fn usable(&self, now: f64, open: &Open, index: usize) -> bool {
         let b = &self.backends[index];
-        let trial = || !self.s.probes && b.record.trial_due(now) && self.repeats(open.request.class);
-        (!b.record.congested || trial())
+        (!b.record.congested || b.record.trial_due(now) && self.repeats(open.request.class))
             && !b.cap.blocks(now, b.in_flight)
             && !open.attempts.iter().any(|a| a.backend == b.id)
             && self.may_send(now, open, index)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -405,7 +405,7 @@
     Left(RequestId),
     /// A timer set by [`Action::Timer`].
     Timer(u64),
-    /// A probe is over.
+    /// A probe is over. None is ever sent: trials are requests.
     Probed {
         /// At which backend.
         backend: BackendId,
@@ -460,8 +460,6 @@
         /// When.
         at_ms: f64,
     },
-    /// Probe a backend.
-    Probe(BackendId),
     /// Close the connections to a backend that carry nothing.
     Release(BackendId),
     /// Send a message of at most 256 bytes to another node, or to all where none is named.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -8,7 +8,7 @@
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
-    Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId,
+    Action, BackendId, Entry, Event, Health, ListKind, Outcome, Request, RequestId,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -128,8 +128,6 @@
         /// Time since the send.
         elapsed_ms: f64,
     },
-    /// A probe is over.
-    Probed(BackendId, Finish, f64),
     /// A timer is due.
     Timer(u64),
     /// Another node's message.
@@ -170,7 +168,6 @@
     upstream: Rc<Upstream>,
     peers: Option<Rc<Peers>>,
     watch: mpsc::UnboundedSender<bool>,
-    probe_path: &'static str,
     next: Cell<u64>,
 }
 
@@ -178,7 +175,6 @@
     /// A driver that has heard nothing yet; the decisions' wish to watch the list goes out on `watch`.
     pub fn new(
         balancer: Balancer,
-        reporting: Reporting,
         upstream: Rc<Upstream>,
         peers: Option<Rc<Peers>>,
         watch: mpsc::UnboundedSender<bool>,
@@ -190,7 +186,6 @@
             upstream,
             peers,
             watch,
-            probe_path: if reporting == Reporting::None { "/alive" } else { "/metrics/load" },
             next: Cell::new(0),
         })
     }
@@ -247,10 +242,6 @@
         }
     }
 
-    fn later(&self, input: Input) {
-        self.inbox.borrow_mut().push_back(input);
-    }
-
     fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
         match action {
             Action::Send { id, backend, timeout_ms } => self.send(core, id, backend, timeout_ms),
@@ -269,7 +260,6 @@
                     driver.take(Input::Timer(token));
                 });
             }
-            Action::Probe(backend) => self.probe(core, backend),
             Action::Release(backend) => self.upstream.release(backend),
             Action::Tell { to, bytes } => {
                 if let Some(peers) = &self.peers {
@@ -331,20 +321,6 @@
         core.places.get(&backend).is_some_and(|p| p.up)
             && core.open.get(&id).is_some_and(|o| o.owed.is_some())
     }
-
-    fn probe(self: &Rc<Self>, core: &Core, backend: BackendId) {
-        let Some(address) = core.places.get(&backend).map(|p| p.address) else {
-            self.later(Input::Probed(backend, Outcome::NotConnected.into(), 0.0));
-            return;
-        };
-        let driver = self.clone();
-        let begun = Instant::now();
-        spawn_local(async move {
-            let (finish, conn) = driver.upstream.probe(backend, address, driver.probe_path).await;
-            driver.take(Input::Probed(backend, finish, begun.elapsed().as_secs_f64() * 1000.0));
-            driver.keep(backend, address, conn);
-        });
-    }
 }
 
 /// Reports the end of an attempt once, by being dropped: also when its task ends in a way nobody foresaw,
@@ -400,9 +376,6 @@
                 }
                 Event::Ended { id, attempt, backend, outcome, last, elapsed_ms, load }
             }
-            Input::Probed(backend, finish, elapsed_ms) => {
-                Event::Probed { backend, outcome: finish.outcome, elapsed_ms, load: finish.load }
-            }
             Input::Timer(token) => Event::Timer(token),
             Input::Message(from, bytes) => Event::Message { from, bytes },
         })
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -101,7 +101,7 @@
     };
     let balancer = Balancer::new(config.settings, config.seed)?;
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver = Driver::new(balancer, settings.reporting, upstream.clone(), peers.clone(), wish);
+    let driver = Driver::new(balancer, upstream.clone(), peers.clone(), wish);
     let names = Rc::new(config.names);
     driver.take(Input::Start);
     let known = discovery::listing(&config.known, &names);
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -1,4 +1,4 @@
-//! Connections to backends, and the attempts and probes on them. One request at a time on each.
+//! Connections to backends, and the attempts on them. One request at a time on each.
 
 use crate::socket::{Descriptors, Slot, Socket};
 use birchspoke::interface::{BackendId, Load, Outcome};
@@ -38,8 +38,6 @@
 const SETTLED: Duration = Duration::from_millis(10);
 /// An answer whose head is there is whole so soon, or it never will be.
 const BODY_TIME: Duration = Duration::from_millis(100);
-/// A probe that takes longer has failed.
-const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
 /// What a client asked, to be sent on unchanged.
 pub struct Call {
@@ -64,7 +62,7 @@
     pub content_type: Option<HeaderValue>,
 }
 
-/// How an attempt or a probe ended.
+/// How an attempt ended.
 pub struct Finish {
     /// How.
     pub outcome: Outcome,
@@ -307,8 +305,7 @@
 
     /// Closes the connections to a backend that carry nothing.
     ///
-    /// Not only for the decisions: a backend that broke a connection, or does not answer a probe, may have
-    /// been away. What was open to it before is reset as soon as something is sent on it, and an unsafe
+    /// Not only for the decisions: a backend that broke a connection may have been away. What was open to it before is reset as soon as something is sent on it, and an unsafe
     /// request would be lost.
     pub fn release(&self, backend: BackendId) {
         let closed = self.idle.borrow_mut().remove(&backend);
@@ -413,46 +410,6 @@
         };
         (outcome.into(), None)
     }
-
-    /// Asks a backend whether it is there.
-    pub async fn probe(
-        &self,
-        backend: BackendId,
-        address: SocketAddr,
-        path: &'static str,
-    ) -> (Finish, Option<Conn>) {
-        let until = Instant::now() + PROBE_LIMIT;
-        let (mut conn, _) = match self.connection(backend, address, until).await {
-            Ok(found) => found,
-            Err(outcome) => return (outcome.into(), None),
-        };
-        let call = Call {
-            method: Method::GET,
-            target: Uri::from_static(path),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            _room: None,
-        };
-        let left = until.saturating_duration_since(Instant::now());
-        let request = call.request(address, left);
-        match tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT, BODY_TIME)).await {
-            Err(_) => {
-                self.release(backend);
-                (Outcome::TimedOut.into(), None)
-            }
-            Ok(Err(Failure::Spoilt)) => (Outcome::Error.into(), None),
-            Ok(Err(Failure::Broken(_))) => {
-                self.release(backend);
-                (Outcome::Reset.into(), None)
-            }
-            Ok(Ok(answer)) => {
-                let text = String::from_utf8_lossy(answer.body()).into_owned();
-                let mut end = finish(answer);
-                end.load = wire::load_report(&text);
-                (end, Some(conn))
-            }
-        }
-    }
 }
 
 impl Call {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -225,7 +225,6 @@
             Action::Timer { token, at_ms } => {
                 writeln!(out, "wake_me who={who} keyBack={token} instantMs={at_ms:.3}")
             }
-            Action::Probe(b) => writeln!(out, "probe who={who} backend={}", word(b)),
             Action::Release(b) => writeln!(out, "release who={who} backend={}", word(b)),
             Action::Tell { to, bytes } => {
                 let to = to.map_or_else(|| "all".to_owned(), |n| n.to_string());
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -80,18 +80,22 @@
     let mut w = safe(1);
     trip(&mut w);
     w.wait(3000.0);
-    assert_eq!(w.probes.len(), 1, "one trial at a time");
-    w.probed(Outcome::TimedOut);
+    let trial = w.ask(0, Some(1));
+    assert!(w.at(trial).is_some());
+    let second = w.ask(0, Some(1));
+    assert_eq!(w.answer(second), Some("refused"), "one trial at a time");
+    w.end(trial, Outcome::TimedOut);
     let id = w.ask(0, Some(1));
     assert_eq!(w.answer(id), Some("refused"), "a failed trial sets PRAT again");
     w.wait(6000.0);
-    w.probed(Outcome::Done);
+    let trial = w.ask(0, Some(1));
+    w.end(trial, Outcome::Done);
     assert!(w.logs.iter().any(|l| l.starts_with("live")));
 }
 
 #[test]
-fn without_probes_the_trial_is_a_request_that_may_be_repeated() {
-    let mut w = World::with_backends(Settings { probes: false, ..settings() }, 1, 1);
+fn the_trial_is_a_request_that_may_be_repeated() {
+    let mut w = World::with_backends(settings(), 1, 1);
     trip(&mut w);
     w.wait(3000.0);
     let unsafe_one = w.ask(1, Some(1));
@@ -595,15 +599,20 @@
         w.end(id, Outcome::Done);
     }
     assert!(w.logs.iter().any(|l| l.starts_with("congested")));
-    // One failed trial at least, then it answers: the list still calls it warm, this node does not.
-    while w.probes.is_empty() {
-        w.wait(100.0);
-    }
-    w.probed(Outcome::TimedOut);
-    while w.probes.is_empty() {
-        w.wait(100.0);
+    // A trial finds nobody there, the next is answered: the list still calls it warm, this node does not.
+    for outcome in [Outcome::NotConnected, Outcome::Done] {
+        let trial = loop {
+            let id = w.ask(0, Some(1));
+            if w.at(id) == Some(dead) {
+                break id;
+            }
+            w.end(id, Outcome::Done);
+            w.wait(100.0);
+        };
+        w.end(trial, outcome);
+        w.end(trial, Outcome::Done);
     }
-    w.probed(Outcome::Done);
+    assert!(w.logs.iter().any(|l| l.starts_with("live") && l.ends_with("held for cold")), "{:?}", w.logs);
     let mut sent = 0;
     for n in 0..100 {
         let id = w.ask(0, Some(n));
@@ -617,9 +626,7 @@
 /// Of 800 requests, how many one of two backends gets after it was back from a silence in which its first trial
 /// ended so.
 fn sent_after_a_failed_trial(outcome: Outcome) -> usize {
-    let mut s = safe(2).s;
-    s.probes = false;
-    let mut w = World::with_backends(s, 1, 2);
+    let mut w = safe(2);
     w.warm_up(200, 0, 20.0);
     let told = |w: &World, word: &str| w.logs.iter().any(|l| l.starts_with(word));
     let (dead, mut trials, mut sent) = (up(1).backend, 0, 0);
@@ -781,7 +788,6 @@
         classes: vec![class(400.0, 1000.0, Effect::Safe)],
         instances: 500,
         reporting: Reporting::Answers,
-        probes: false,
         ..settings()
     };
     World::with_backends(s, 1, count)
@@ -854,7 +860,7 @@
 #[test]
 fn one_failure_trips_where_nodes_are_many_and_their_trials_do_not_add_up() {
     for nodes in [50, 100] {
-        let s = Settings { instances: nodes, probes: false, ..settings() };
+        let s = Settings { instances: nodes, ..settings() };
         let mut w = World::with_backends(s, 1, 1);
         w.wait(100.0);
         let id = w.ask(0, Some(5));
@@ -894,7 +900,7 @@
     // Found on sockets: reports of `qps` and `inflight` tell no pressure, so a mean of pressure that heard
     // failures alone rose with each of them and closed a fleet that answered well within the aim.
     let mut s = safe(6).s;
-    (s.reporting, s.probes, s.instances) = (Reporting::Answers, false, 2);
+    (s.reporting, s.instances) = (Reporting::Answers, 2);
     let mut w = World::with_backends(s, 1, 6);
     w.warm_up(100, 0, 20.0);
     let report = Load { in_hand: Some(2.0), rate: Some(30.0), ..Load::default() };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,7 +44,7 @@
         second_copies: false,
         retry_after: true,
         max_retry_after_ms: 2000.0,
-        probes: true,
+        probes: false,
         peer_messages: false,
         open_cap: 1000,
         max_streams: 1,
@@ -98,7 +98,6 @@
     pub list: BTreeMap<BackendId, Entry>,
     pub asked: BTreeMap<RequestId, Asked>,
     pub timers: Vec<(f64, u64)>,
-    pub probes: Vec<BackendId>,
     pub logs: Vec<String>,
     pub watches: Vec<f64>,
     /// Last release of the idle connections to a backend.
@@ -117,7 +116,6 @@
             list: BTreeMap::new(),
             asked: BTreeMap::new(),
             timers: Vec::new(),
-            probes: Vec::new(),
             logs: Vec::new(),
             watches: Vec::new(),
             released: BTreeMap::new(),
@@ -199,10 +197,6 @@
                 assert!(self.asked[id].attempts.len() > *attempt as usize, "an attempt never made");
             }
             Action::Timer { token, at_ms } => self.timers.push((*at_ms, *token)),
-            Action::Probe(b) => {
-                assert!(self.s.probes, "probing is not allowed");
-                self.probes.push(*b);
-            }
             Action::Release(b) => {
                 assert!(self.list.contains_key(b), "released one that no list has named");
                 self.released.insert(*b, self.now);
@@ -329,12 +323,6 @@
             self.end(id, Outcome::Done);
         }
     }
-
-    pub fn probed(&mut self, outcome: Outcome) {
-        for backend in std::mem::take(&mut self.probes) {
-            self.feed(Event::Probed { backend, outcome, elapsed_ms: 1.0, load: Load::default() });
-        }
-    }
 }
 
 pub fn up(n: u64) -> Entry {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -13,7 +13,6 @@
     Leave(usize),
     Wait(f64),
     List(ListKind, Vec<(u64, Health, bool)>),
-    Probed(Outcome),
     Stray(u64),
 }
 
@@ -45,7 +44,6 @@
         3 => (0.0..400.0).prop_map(Step::Wait),
         1 => (kind, proptest::collection::vec((1_u64..12, health, any::<bool>()), 0..8))
             .prop_map(|(k, e)| Step::List(k, e)),
-        1 => outcome().prop_map(Step::Probed),
         1 => any::<u64>().prop_map(Step::Stray),
     ]
 }
@@ -89,7 +87,6 @@
                     .collect();
                 w.list(*kind, entries);
             }
-            Step::Probed(o) => w.probed(*o),
             Step::Stray(n) => {
                 // Events for what this node does not know are ignored.
                 w.feed(Event::Timer(n.wrapping_add(100)));
@@ -126,18 +123,12 @@
 
 #[test]
 fn the_rules_hold_and_the_same_events_give_the_same_actions() {
-    let input = (any::<u64>(), any::<[bool; 5]>(), proptest::collection::vec(step(), 1..120));
+    let input = (any::<u64>(), any::<[bool; 4]>(), proptest::collection::vec(step(), 1..120));
     runner()
-        .run(&input, |(seed, [probes, copies, warm, asked, late_shedding], steps)| {
+        .run(&input, |(seed, [copies, warm, asked, late_shedding], steps)| {
             let discovery = if asked { Discovery::OnRequest } else { Discovery::Pushed };
-            let s = Settings {
-                probes,
-                second_copies: copies,
-                warm_keys: warm,
-                discovery,
-                late_shedding,
-                ..settings()
-            };
+            let s =
+                Settings { second_copies: copies, warm_keys: warm, discovery, late_shedding, ..settings() };
             let first = play(s.clone(), seed, &steps);
             assert_eq!(first, play(s, seed, &steps));
             Ok(())
