Take bid servers out of service and back by events of the module

Design: disable and enable are events; the module keeps who is out in a set of ids of its own, so that no list lifts a ban, and every send goes through the flag that draining servers have. A server put back is cold from then on, also if the list names it only later. A connection under way asks the module again before it is used. Not taken: filtering the list in the node, which would hide from the module that a server is there and leave trials and spills of its own to chance.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,7 @@
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Outcome,
     Reporting, Request, RequestId, Settings, SettingsError,
 };
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Buckets of the failure window (the source keeps 16 and one in the making).
 const BUCKETS: usize = 16;
@@ -115,7 +115,9 @@
     zone: u16,
     cell: u32,
     units: f64,
-    /// Listed and up; sends elsewhere are against the drain rule.
+    /// The list has it as up.
+    listed: bool,
+    /// That, and in service; sends elsewhere are against the drain rule.
     up: bool,
     in_flight: u32,
     /// Time that this node's attempts have lately spent in flight here, in milliseconds; it fades.
@@ -329,6 +331,9 @@
     s: Settings,
     rng: fastrand::Rng,
     backends: Vec<Backend>,
+    /// Until when the operators have backends out of service: for good, or the moment they put one back, kept
+    /// while it is cold.
+    out: BTreeMap<BackendId, f64>,
     places: Vec<Place>,
     open: HashMap<RequestId, Open>,
     learned: Vec<Learned>,
@@ -373,6 +378,7 @@
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
             backends: Vec::new(),
+            out: BTreeMap::new(),
             places: Vec::new(),
             open: HashMap::new(),
             learned: vec![Learned::default(); classes],
@@ -420,6 +426,12 @@
             Event::Left(id) => self.on_left(id, out),
             Event::Timer(TICK) => self.on_tick(now, out),
             Event::Timer(ASK) => out.push(Action::Watch(true)),
+            Event::Disable(id) => {
+                self.out.insert(id, f64::INFINITY);
+                self.place(now);
+                out.push(Action::Release(id));
+            }
+            Event::Enable(id) => self.on_enable(now, id),
             Event::Timer(_) | Event::Started { .. } | Event::Message { .. } | Event::Probed { .. } => {}
         }
     }
@@ -510,12 +522,14 @@
         }
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             for b in &mut self.backends {
-                b.up = false;
+                b.listed = false;
             }
         }
         for e in entries {
             let known = e.ready_at_ms.is_finite() && e.ready_at_ms > 0.0;
+            let back = self.out.get(&e.backend).copied().filter(|until| until.is_finite());
             let ready = if known { e.ready_at_ms } else { f64::NEG_INFINITY };
+            let ready = back.map_or(ready, |back| back.max(ready));
             let found = self.backends.binary_search_by_key(&e.backend, |b| b.id);
             let index = found.unwrap_or_else(|i| {
                 let fresh = Backend {
@@ -523,6 +537,7 @@
                     zone: e.zone,
                     cell: e.cell,
                     units: 1.0,
+                    listed: false,
                     up: false,
                     in_flight: 0,
                     held_ms: 0.0,
@@ -536,25 +551,51 @@
                 self.backends.insert(i, fresh);
                 i
             });
-            let b = &mut self.backends[index];
-            if ready > b.cold_since {
-                // A new start: what the old process did says nothing of this one.
-                if now - ready < self.s.cold_ms {
-                    b.cold_tokens = self.rng.f64();
-                }
-                b.cold_since = ready;
-                b.record.revive();
+            if ready > self.backends[index].cold_since {
+                self.renew(ready, index);
             }
+            let b = &mut self.backends[index];
             (b.zone, b.cell) = (e.zone, e.cell);
             b.units = if e.units.is_finite() && e.units > 0.0 { e.units } else { 1.0 };
-            b.up = e.health == Health::Up;
+            b.listed = e.health == Health::Up;
         }
-        self.backends.retain(|b| b.up || b.in_flight > 0);
+        self.backends.retain(|b| b.listed || b.in_flight > 0);
         self.place(now);
     }
 
-    /// Rebuilds the table that keyed candidates are looked up in.
+    /// The operators put a backend back: it was restarted meanwhile, whatever the list says of its start.
+    fn on_enable(&mut self, now: f64, id: BackendId) {
+        let Some(until) = self.out.get_mut(&id).filter(|until| until.is_infinite()) else { return };
+        *until = now;
+        if let Some(i) = self.find(id) {
+            self.renew(now, i);
+        }
+        self.place(now);
+    }
+
+    /// A new process is there, and cold: what the old one did says nothing of it.
+    fn renew(&mut self, since: f64, index: usize) {
+        let b = &mut self.backends[index];
+        (b.cold_since, b.cold_tokens) = (since, self.rng.f64());
+        b.record.revive();
+    }
+
+    /// Out of service by a call of the operators.
+    pub fn is_out(&self, id: BackendId) -> bool {
+        self.out.get(&id).is_some_and(|until| until.is_infinite())
+    }
+
+    /// May be sent to, as far as the list and the operators go.
+    pub fn in_service(&self, id: BackendId) -> bool {
+        self.find(id).is_some_and(|i| self.backends[i].up)
+    }
+
+    /// Notes who is in service, and rebuilds the table that keyed candidates are looked up in.
     fn place(&mut self, now: f64) {
+        self.out.retain(|_, until| now - *until < self.s.cold_ms);
+        for i in 0..self.backends.len() {
+            self.backends[i].up = self.backends[i].listed && !self.is_out(self.backends[i].id);
+        }
         let far = |b: &Backend| self.s.zone.is_some_and(|z| z != b.zone) && self.s.prices.cross_zone > 0.0;
         let ramp = |b: &Backend| ramp(&self.s, now - b.cold_since) * if far(b) { FAR } else { 1.0 };
         self.places = (self.backends.iter().enumerate())
@@ -1178,11 +1219,11 @@
         // only slow, or lost a connection, is as warm as before: held for cold, it would serve next to
         // nothing.
         let cold = if b.record.away { ", held for cold" } else { "" };
+        let text = format!("live {:016x}: trial answered after {failed_trials} failed{cold}", b.id.0);
         if b.record.away {
-            (b.cold_since, b.cold_tokens) = (now, self.rng.f64());
+            self.renew(now, i);
         }
-        b.record.revive();
-        let text = format!("live {:016x}: trial answered after {failed_trials} failed{cold}", b.id.0);
+        self.backends[i].record.revive();
         self.log(text, out);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -416,6 +416,10 @@
         /// The backend's report of its load, as far as it gave one.
         load: Load,
     },
+    /// The operators take a backend out of service, whatever the list says of it.
+    Disable(BackendId),
+    /// They put it back.
+    Enable(BackendId),
     /// A message from another node.
     Message {
         /// Its number.
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -3,6 +3,7 @@
 //! A call is read whole before anything is done about it. Callers are few and never wait behind clients: their
 //! descriptors are kept free, and when all places are taken whoever has been silent for longest goes.
 
+use crate::driver::Driver;
 use crate::log;
 use crate::server::Server;
 use crate::socket::Descriptors;
@@ -26,6 +27,7 @@
 /// What a caller still sends behind its call is read for so long, lest the answer be lost to a reset.
 const LINGER: Duration = Duration::from_millis(200);
 const BACKLOG: u32 = 128;
+const UNKNOWN: &str = "no server of this id is on the list or out of service";
 
 /// What may be asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +94,7 @@
 
 /// The operators' side of the node.
 pub struct Console {
+    driver: Rc<Driver>,
     server: Rc<Server>,
     descriptors: Rc<Descriptors>,
     /// Who has brought no whole call yet, the oldest first. Dropping the handle is the notice to go.
@@ -112,9 +115,9 @@
 
 impl Console {
     /// A console that nobody has called yet.
-    pub fn new(server: Rc<Server>, descriptors: Rc<Descriptors>) -> Rc<Console> {
+    pub fn new(driver: Rc<Driver>, server: Rc<Server>, descriptors: Rc<Descriptors>) -> Rc<Console> {
         let (waiting, open, next) = (RefCell::default(), Cell::new(0), Cell::new(0));
-        Rc::new(Console { server, descriptors, waiting, open, next })
+        Rc::new(Console { driver, server, descriptors, waiting, open, next })
     }
 
     /// Where callers come.
@@ -190,7 +193,16 @@
         let answer = match call {
             Call::Ready if self.server.ready() => return Ok("takes clients"),
             Call::Ready => return Err("takes no clients"),
-            Call::Disable(_) | Call::Enable(_) => Err("not built yet"),
+            Call::Disable(id) => match self.driver.call(id, true) {
+                Some(true) => Ok("out of service"),
+                Some(false) => Ok("out of service already"),
+                None => Err(UNKNOWN),
+            },
+            Call::Enable(id) => match self.driver.call(id, false) {
+                Some(true) => Ok("in service again, cold"),
+                Some(false) => Ok("was not out of service"),
+                None => Err(UNKNOWN),
+            },
             Call::Drain => self.server.drain(),
             Call::Resume => self.server.resume(),
         };
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -10,8 +10,9 @@
 use birchspoke::interface::{
     Action, BackendId, Entry, Event, Health, ListKind, Outcome, Request, RequestId,
 };
+use birchspoke::wire::stable_hash;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -130,6 +131,10 @@
     },
     /// A timer is due.
     Timer(u64),
+    /// The operators take a backend out of service.
+    Disable(BackendId),
+    /// They put it back.
+    Enable(BackendId),
     /// Another node's message.
     Message(u32, Vec<u8>),
 }
@@ -157,6 +162,8 @@
     balancer: Balancer,
     open: HashMap<RequestId, Open>,
     places: HashMap<BackendId, Place>,
+    /// All that the list names: up or draining.
+    listed: HashSet<BackendId>,
 }
 
 /// Events in, actions out.
@@ -180,7 +187,12 @@
         watch: mpsc::UnboundedSender<bool>,
     ) -> Rc<Driver> {
         Rc::new(Driver {
-            core: RefCell::new(Core { balancer, open: HashMap::new(), places: HashMap::new() }),
+            core: RefCell::new(Core {
+                balancer,
+                open: HashMap::new(),
+                places: HashMap::new(),
+                listed: HashSet::new(),
+            }),
             inbox: RefCell::default(),
             clock: Clock::new(),
             upstream,
@@ -223,7 +235,21 @@
 
     /// A request could be served.
     pub fn ready(&self) -> bool {
-        self.core.borrow().places.values().any(|p| p.up)
+        let core = self.core.borrow();
+        core.places.keys().any(|id| core.stands(*id))
+    }
+
+    /// Takes a backend out of service or puts it back; none for an id that neither the list nor an earlier call
+    /// has named. True if that changed anything.
+    pub fn call(self: &Rc<Self>, uid: &str, out: bool) -> Option<bool> {
+        let id = BackendId(stable_hash(uid));
+        let was_out = {
+            let core = self.core.borrow();
+            let was_out = core.balancer.is_out(id);
+            (was_out || core.listed.contains(&id)).then_some(was_out)?
+        };
+        self.take(if out { Input::Disable(id) } else { Input::Enable(id) });
+        Some(was_out != out)
     }
 
     /// The one way in. What comes up while an event is handled waits for its end.
@@ -310,7 +336,7 @@
     /// Keeps a connection unless its backend has drained, gone or moved meanwhile.
     fn keep(&self, backend: BackendId, address: SocketAddr, conn: Option<Conn>) {
         let core = self.core.borrow();
-        let same = core.places.get(&backend).is_some_and(|p| p.up && p.address == address);
+        let same = core.stands(backend) && core.places.get(&backend).is_some_and(|p| p.address == address);
         if let Some(conn) = conn.filter(|_| same) {
             self.upstream.keep(backend, conn);
         }
@@ -318,8 +344,7 @@
 
     fn stands(&self, id: RequestId, backend: BackendId) -> bool {
         let core = self.core.borrow();
-        core.places.get(&backend).is_some_and(|p| p.up)
-            && core.open.get(&id).is_some_and(|o| o.owed.is_some())
+        core.stands(backend) && core.open.get(&id).is_some_and(|o| o.owed.is_some())
     }
 }
 
@@ -344,6 +369,11 @@
 }
 
 impl Core {
+    /// May be sent to at this moment.
+    fn stands(&self, backend: BackendId) -> bool {
+        self.places.get(&backend).is_some_and(|p| p.up) && self.balancer.in_service(backend)
+    }
+
     /// Notes what happened and says it in the decisions' words; none where they need not hear of it.
     fn event(&mut self, input: Input, upstream: &Upstream) -> Option<Event> {
         Some(match input {
@@ -377,6 +407,8 @@
                 Event::Ended { id, attempt, backend, outcome, last, elapsed_ms, load }
             }
             Input::Timer(token) => Event::Timer(token),
+            Input::Disable(id) => Event::Disable(id),
+            Input::Enable(id) => Event::Enable(id),
             Input::Message(from, bytes) => Event::Message { from, bytes },
         })
     }
@@ -397,9 +429,15 @@
             for place in self.places.values_mut() {
                 place.up = false;
             }
+            self.listed.clear();
         }
         for Target { entry, address } in targets {
             let up = entry.health == Health::Up;
+            if entry.health == Health::Gone {
+                self.listed.remove(&entry.backend);
+            } else {
+                self.listed.insert(entry.backend);
+            }
             match (self.places.get_mut(&entry.backend), address) {
                 (Some(place), address) => {
                     let address = address.unwrap_or(place.address);
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -136,7 +136,7 @@
     let open_cap = settings.open_cap as usize;
     let server = Server::new(driver.clone(), reader, open_cap, buffer, descriptors.clone());
     if let Some(console) = console {
-        spawn_local(Console::new(server.clone(), descriptors).accept(console));
+        spawn_local(Console::new(driver.clone(), server.clone(), descriptors).accept(console));
     }
     let at = listener.local_addr().unwrap_or(config.listen);
     log::line(&format!(
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -1063,3 +1063,76 @@
     assert_eq!(hurry(true, true), (0, 60), "a retry with less than any first try is an old one");
     assert!(hurry(false, false).0 < 40, "where nothing is marked those given less may be last tries");
 }
+
+// ---- out of service by a call ----
+
+#[test]
+fn a_disabled_backend_gets_neither_first_tries_nor_retries_nor_spills() {
+    let mut w = safe(2);
+    let (out, other) = (up(1).backend, up(2).backend);
+    w.feed(Event::Disable(out));
+    w.feed(Event::Disable(out));
+    assert_eq!(w.released.get(&out), Some(&w.now), "its idle connections are closed");
+    for n in 0..50 {
+        let id = w.ask(0, Some(n));
+        assert_eq!(w.at(id), Some(other));
+        w.end(id, if n % 10 == 0 { Outcome::NotConnected } else { Outcome::Done });
+        assert_ne!(w.at(id), Some(out), "a retry");
+        w.end(id, Outcome::Done);
+        // The list goes on naming it as up, and as started anew.
+        w.list(ListKind::Changes, vec![Entry { ready_at_ms: w.now, ..up(1) }]);
+        w.wait(10.0);
+    }
+    w.list(ListKind::Changes, vec![Entry { health: Health::Gone, ..up(2) }]);
+    let id = w.ask(0, Some(1));
+    assert_eq!(w.answer(id), Some("refused"), "not even as the last resort");
+}
+
+#[test]
+fn an_enabled_backend_is_cold_whatever_the_list_says_and_one_call_undoes_two() {
+    let mut w = safe(3);
+    w.warm_up(300, 0, 10.0);
+    let out = up(1).backend;
+    w.feed(Event::Disable(out));
+    w.feed(Event::Disable(out));
+    w.wait(5000.0);
+    w.feed(Event::Enable(out));
+    let share = |w: &mut World| {
+        let mut sent = 0;
+        for n in 0..300 {
+            let id = w.ask(0, Some(n));
+            sent += usize::from(w.at(id) == Some(out));
+            w.wait(10.0);
+            w.end(id, Outcome::Done);
+        }
+        sent
+    };
+    let cold = share(&mut w);
+    assert!((1..60).contains(&cold), "{cold} of 300 in the first three seconds");
+    // Enabled once more, it does not turn cold again; in the end it has its share.
+    w.wait(22_000.0);
+    w.feed(Event::Enable(out));
+    let warm = share(&mut w);
+    assert!(warm > 70, "{warm} of 300 once it is warm");
+}
+
+#[test]
+fn enabling_does_not_bring_back_what_drains_or_is_gone() {
+    for health in [Health::Draining, Health::Gone] {
+        let mut w = safe(2);
+        let out = up(1).backend;
+        w.feed(Event::Disable(out));
+        w.list(ListKind::Changes, vec![Entry { health, ..up(1) }]);
+        w.feed(Event::Enable(out));
+        for n in 0..20 {
+            let id = w.ask(0, Some(n));
+            assert_ne!(w.at(id), Some(out), "{health:?}");
+            w.end(id, Outcome::Done);
+        }
+        // Listed again, by a list that calls it old: it comes back cold.
+        w.list(ListKind::Changes, vec![up(1)]);
+        let ids: Vec<_> = (0..20).map(|n| w.ask(0, Some(n))).collect();
+        let sent = ids.iter().filter(|id| w.at(**id) == Some(out)).count();
+        assert!(sent <= 1, "{sent} at once to a cold backend");
+    }
+}
--- a/tests/node_console.rs
+++ b/tests/node_console.rs
@@ -142,3 +142,64 @@
     assert!(node.call("drain").starts_with("done "));
     assert_eq!(client.answer().unwrap().body, b"late");
 }
+
+/// A node on `count` backends named s-0, s-1, ..., each with a record of its own.
+fn start_apart(count: usize) -> (Node, Vec<Record>, Discovery, Vec<std::net::SocketAddr>) {
+    let records: Vec<Record> = (0..count).map(|_| Record::default()).collect();
+    let addresses: Vec<_> = records.iter().map(|r| backend(r, |_, _| ok(b"ok"))).collect();
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| c["console"] = free_address().to_string().into());
+    (node, records, discovery, addresses)
+}
+
+#[test]
+fn a_disabled_server_gets_nothing_until_it_is_enabled_whatever_the_list_says() {
+    let (node, records, discovery, addresses) = start_apart(2);
+    let asked =
+        |n: usize| (0..n).for_each(|_| assert_eq!(ask(node.address, &request("page", 4000)).status(), 200));
+    wait_for("both are asked", || {
+        asked(1);
+        records.iter().all(|r| r.count() > 0)
+    });
+    for _ in 0..2 {
+        assert!(node.call("disable-server s-0").starts_with("done "));
+    }
+    wait_for("its idle connections are closed", || records[0].open_now() == 0);
+    let before = records[0].count();
+    let calls = discovery.calls();
+    discovery.set(vec![target("s-1", addresses[1], "up")]);
+    discovery.set(all_up(&addresses));
+    wait_for("the list is taken", || discovery.calls() > calls + 1);
+    asked(50);
+    assert_eq!(records[0].count(), before, "asked though out of service");
+    // One call back undoes both.
+    assert_eq!(node.call("enable-server s-0"), "done in service again, cold\n");
+    wait_for("it is asked again", || {
+        asked(1);
+        records[0].count() > before
+    });
+    assert_eq!(node.call("enable-server s-0"), "done was not out of service\n");
+}
+
+#[test]
+fn an_id_that_nobody_has_named_is_an_error_and_one_out_of_service_is_not() {
+    let (node, _, discovery, addresses) = start_apart(2);
+    for line in ["disable-server s-7", "enable-server s-7", "disable-server S-0"] {
+        assert_eq!(node.call(line), "error no server of this id is on the list or out of service\n");
+    }
+    assert!(node.call("disable-server s-0").starts_with("done "));
+    let calls = discovery.calls();
+    discovery.set(vec![target("s-1", addresses[1], "up")]);
+    wait_for("the list is taken", || discovery.calls() > calls);
+    // The list has forgotten it, the node has not.
+    assert!(node.call("enable-server s-0").starts_with("done "));
+    assert!(node.call("enable-server s-0").starts_with("error "));
+}
+
+#[test]
+fn a_node_with_every_server_out_of_service_takes_no_clients() {
+    let (node, ..) = start_apart(1);
+    assert!(node.call("disable-server s-0").starts_with("done "));
+    assert_eq!((node.up(), node.call("ready").as_str()), (503, "error takes no clients\n"));
+    assert_eq!(ask(node.address, &request("page", 4000)).status(), 503, "refused, not held");
+}
