--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,8 +12,6 @@
 
 /// Buckets of the failure window (the source keeps 16 and one in the making).
 const BUCKETS: usize = 16;
-/// Log lines a node may write in its life.
-const LOG_LINES: u32 = 200;
 /// How often one of them may tell of refusals, in milliseconds.
 const TELL_REFUSED_MS: f64 = 10_000.0;
 const TICK: u64 = 1;
@@ -355,7 +353,6 @@
     warm_count: f64,
     ticked: f64,
     ask_failures: u32,
-    logged: u32,
     refused: Refused,
     refused_told: f64,
 }
@@ -404,7 +401,6 @@
             warm_count: 0.0,
             ticked: 0.0,
             ask_failures: 0,
-            logged: 0,
             refused: Refused::default(),
             refused_told: 0.0,
             s,
@@ -462,13 +458,6 @@
         (self.s.fall_ms / 6.0).max(20.0 * self.s.tick_ms).max(1.0)
     }
 
-    fn log(&mut self, text: String, out: &mut Vec<Action>) {
-        if self.logged < LOG_LINES {
-            self.logged += 1;
-            out.push(Action::Log(text));
-        }
-    }
-
     /// Says now and then why requests were refused, where any were.
     fn tell_refused(&mut self, now: f64, out: &mut Vec<Action>) {
         let Refused { too_late, shed, crowded, blocked } = self.refused;
@@ -483,7 +472,7 @@
              {live} of {up} live, level {:.2}, strain {:.2}",
             self.admission.level, self.admission.strain
         );
-        self.log(text, out);
+        out.push(Action::Log(text));
     }
 
     /// More nodes than a backend takes requests at once: each has nothing in flight at most backends, and
@@ -1014,7 +1003,7 @@
         let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { (now - a.sent).max(0.0) };
         a.out = false;
         self.in_flight = self.in_flight.saturating_sub(1);
-        a.never_ran = never_ran(&self.s, outcome);
+        a.never_ran = never_ran(outcome);
         open.finished |= last;
         let (backend, timeout, trial, class) = (a.backend, a.timeout, a.trial, open.request.class);
         let allowed = open.request.deadline_ms - a.sent;
@@ -1063,7 +1052,7 @@
             return;
         }
         // Further attempts multiply load: each takes from a budget, less where nothing ran.
-        let price = if never_ran(&self.s, outcome) { 0.25 } else { 1.0 };
+        let price = if never_ran(outcome) { 0.25 } else { 1.0 };
         // What may have run and must not run twice is over. Looking for a backend for it would take from the
         // budgets of others, and count as a fleet with every way blocked.
         let again = self.repeats(class) || open.attempts.iter().all(|a| a.never_ran);
@@ -1086,7 +1075,7 @@
         self.unconnected += 0.02 * (failed - self.unconnected);
         if self.unconnected > SCARCE {
             if now >= self.scarce_until {
-                self.log("connections are scarce: idle ones are given back".to_owned(), out);
+                out.push(Action::Log("connections are scarce: idle ones are given back".to_owned()));
                 out.extend(
                     self.backends.iter().filter(|b| b.in_flight == 0).map(|b| Action::Release(b.id)),
                 );
@@ -1200,7 +1189,7 @@
             (b.record.congested, b.record.prat) = (true, now + t);
             let text =
                 format!("congested {:016x}: {failures} failures of {tries}, trial in {t:.0} ms", b.id.0);
-            self.log(text, out);
+            out.push(Action::Log(text));
         }
     }
 
@@ -1224,18 +1213,13 @@
             self.renew(now, i);
         }
         self.backends[i].record.revive();
-        self.log(text, out);
+        out.push(Action::Log(text));
     }
 }
 
-/// Proof that an attempt never ran: the one place that sends, refusals and the retry budget go by. Where
-/// backends shed work late, "full" is none.
-fn never_ran(s: &Settings, outcome: Outcome) -> bool {
-    match outcome {
-        Outcome::NotConnected | Outcome::Skipped => true,
-        Outcome::Full => !s.late_shedding,
-        _ => false,
-    }
+/// Proof that an attempt never ran: the one place that sends, refusals and the retry budget go by.
+fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::NotConnected | Outcome::Skipped | Outcome::Full)
 }
 
 /// A cold backend's present part of its capacity, by the slowest ramp the settings allow.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -211,8 +211,6 @@
     pub fall_multiple: f64,
     /// ... for this long, a cold backend falls over.
     pub fall_ms: f64,
-    /// "Full" is no proof that the attempt never ran.
-    pub late_shedding: bool,
     /// Sends to a backend end within this of the notice that it drains or is gone.
     pub drain_grace_ms: f64,
     /// Asked discovery: a node silent for this long is deemed told.
@@ -326,7 +324,7 @@
     Done,
     /// The backend answered with an error; it may have run.
     Error,
-    /// Turned away; never ran, unless [`Settings::late_shedding`] says that this is no proof.
+    /// Turned away; never ran.
     Full,
     /// No answer in time; it may have run.
     TimedOut,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -465,7 +465,6 @@
         start_capacity: figure(&v, "rules.startCapacity", None)?,
         fall_multiple: figure(&v, "rules.fallMultiple", None)?,
         fall_ms: figure(&v, "rules.fallMs", None)?,
-        late_shedding: truth(&v, "rules.lateShedding")?,
         drain_grace_ms: f("rules.drainGraceMs", 0.0)?,
         must_ask_in_ms: f("rules.mustAskInMs", 10000.0)?,
         tick_ms: f("tickMs", 1.0)?,
