Drop quotas of tenants: this deployment has none

The settings' list of tenants is empty here and no weight goes to them, so the branch that held a request for over its share was never taken.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -277,15 +277,12 @@
     held: f64,
     /// Share of strain in recent outcomes.
     strain: f64,
-    /// Offered work and worth by class, within and over share.
+    /// Offered work by class, in time and too old for its aim.
     offered: Vec<[f64; 2]>,
     /// Chance of being let in.
     chance: Vec<[f64; 2]>,
     /// Part of the room that it may fill: less for what is worth least.
     part: Vec<[f64; 2]>,
-    /// Requests a second of each tenant at this node.
-    tenants: Vec<f64>,
-    tenant_count: Vec<u32>,
     /// Tokens for further attempts.
     retry: f64,
 }
@@ -371,7 +368,7 @@
     /// Settings that cannot be run on: no class, or a figure outside its range.
     pub fn new(s: Settings, seed: u64) -> Result<Balancer, SettingsError> {
         s.check()?;
-        let (classes, tenants) = (s.classes.len(), s.tenants.len());
+        let classes = s.classes.len();
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
             backends: Vec::new(),
@@ -386,8 +383,6 @@
                 offered: vec![[0.0; 2]; classes],
                 chance: vec![[1.0; 2]; classes],
                 part: vec![[1.0; 2]; classes],
-                tenants: vec![0.0; tenants],
-                tenant_count: vec![0; tenants],
                 retry: 3.0,
                 ..Admission::default()
             },
@@ -640,10 +635,6 @@
         let seconds = seconds.min(1.0);
         let keep = (-seconds / 2.0_f64).exp();
         let a = &mut self.admission;
-        for (rate, count) in a.tenants.iter_mut().zip(&mut a.tenant_count) {
-            *rate = *rate * keep + f64::from(*count) / seconds * (1.0 - keep);
-            *count = 0;
-        }
         // Few outcomes are little evidence: without this, a node that admits next to nothing would hold
         // on to the strain that made it so.
         a.strain = a.bad / (a.good + a.bad).max(1e-9) * a.seen / (a.seen + 2.0);
@@ -840,10 +831,6 @@
             age = if late_worth > 0.0 { 0.0 } else { l.age(given, deadline, retry) };
             l.asked += if age > 0.0 { 0.0 } else { 1.0 };
         }
-        let over = self.over_share(request.tenant, age == 0.0 && !request.retry);
-        if over {
-            worth *= self.s.over_share_worth;
-        }
         if age >= aim {
             worth *= late_worth;
         }
@@ -852,7 +839,7 @@
         let mut let_in = worth > 0.0;
         self.refused.too_late += u32::from(!let_in);
         if let Some(offered) = self.admission.offered.get_mut(request.class) {
-            let o = usize::from(over || age >= aim);
+            let o = usize::from(age >= aim);
             offered[o] += cost;
             let chance = self.admission.chance[request.class][o];
             let kept = chance >= 1.0 || !let_in || self.rng.f64() < chance;
@@ -882,17 +869,6 @@
         }
     }
 
-    /// Over its share: by chance, as often as the tenant's traffic exceeds this node's part of its quota.
-    /// First tries alone are traffic: a storm of retries would put all over, and refuse what is in share.
-    fn over_share(&mut self, tenant: Option<usize>, first: bool) -> bool {
-        let Some((i, quota)) = tenant.and_then(|t| self.s.tenants.get(t).map(|q| (t, q.quota_rps))) else {
-            return false;
-        };
-        self.admission.tenant_count[i] += u32::from(first);
-        let own = quota / f64::from(self.s.instances.max(1));
-        own > 0.0 && self.admission.tenants[i] > own && self.rng.f64() > own / self.admission.tenants[i]
-    }
-
     /// A second try of this class may do no harm; a class nobody knows is held to be unsafe.
     fn repeats(&self, class: usize) -> bool {
         self.s.classes.get(class).is_some_and(|c| c.effect != Effect::Unsafe)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,13 +64,6 @@
     pub aim_stretch: f64,
 }
 
-/// A tenant and its share.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Tenant {
-    /// Requests a second within its share, over all nodes; 0 for no quota.
-    pub quota_rps: f64,
-}
-
 /// Weights of what the operators count.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Goal {
@@ -153,8 +146,6 @@
 pub struct Settings {
     /// Request classes; a request names one by its index.
     pub classes: Vec<Class>,
-    /// Tenants; a request names one by its index.
-    pub tenants: Vec<Tenant>,
     /// Weights of the result.
     pub goal: Goal,
     /// What each thing costs.
@@ -197,7 +188,7 @@
     pub cpu_us_per_s: f64,
     /// Clients mark their retries: a request without the mark is a first try.
     pub marks_retry: bool,
-    /// The part of its worth that a request over its tenant's share keeps.
+    /// The part of its worth that a request keeps that is over its share: here, too old for its aim.
     pub over_share_worth: f64,
     /// Worth is counted by work rather than by request.
     pub worth_by_work: bool,
@@ -249,7 +240,6 @@
             figures.push(("classes.lateValue", c.late_worth, 0.0));
             figures.push(("classes.keyTtlMs", c.key_ttl_ms, 0.0));
         }
-        figures.extend(self.tenants.iter().map(|t| ("tenants.quotaRps", t.quota_rps, 0.0)));
         if let Some((field, value, _)) =
             figures.into_iter().find(|(_, v, least)| !v.is_finite() || v < least)
         {
@@ -345,8 +335,6 @@
     pub id: RequestId,
     /// Index into [`Settings::classes`]; one that is not there is held to the strictest rules.
     pub class: usize,
-    /// Index into [`Settings::tenants`].
-    pub tenant: Option<usize>,
     /// Stable hash of its subject.
     pub key: Option<u64>,
     /// When the client gives this try up.
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -32,7 +32,7 @@
     pub known: Value,
     /// What the decisions need.
     pub settings: Settings,
-    /// Names of classes, tenants and zones.
+    /// Names of classes and zones.
     pub names: Names,
 }
 
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -184,7 +184,6 @@
         let asked = Asked {
             id: RequestId(0),
             class,
-            tenant: header("x-customer").and_then(|t| self.names.tenant(t)),
             key: header("x-object").map(stable_hash),
             deadline_ms: 0.0,
             effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::{
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Goal, Group, Health, ListKind, Load,
-    Outcome, Prices, Reporting, Request, RequestId, Settings, Tenant, Weights,
+    Outcome, Prices, Reporting, Request, RequestId, Settings, Weights,
 };
 use serde_json::Value;
 use std::collections::HashMap;
@@ -104,7 +104,6 @@
 #[derive(Debug)]
 pub struct Names {
     classes: Vec<String>,
-    tenants: Vec<String>,
     zones: Vec<String>,
     backends: HashMap<BackendId, String>,
 }
@@ -119,11 +118,6 @@
         Names::index(&self.classes, name).unwrap_or(usize::MAX)
     }
 
-    /// Place of a tenant in the settings.
-    pub fn tenant(&self, name: &str) -> Option<usize> {
-        Names::index(&self.tenants, name)
-    }
-
     /// Number of a zone; unknown ones are all the same foreign one.
     pub fn zone(&self, name: Option<&str>) -> u16 {
         name.and_then(|z| Names::index(&self.zones, z))
@@ -167,7 +161,6 @@
             "demand" => Event::Request(Request {
                 id: id()?,
                 class: self.class(line.need("priority")?),
-                tenant: line.get("userGroup").and_then(|t| self.tenant(t)),
                 key: line.get("nameKey").map(stable_hash),
                 deadline_ms: line.time("deadlineMs")?,
                 effort_ms: line.opt_time("effortMs")?,
@@ -409,10 +402,6 @@
     let asked = word(&v, "membershipMode")? == "on_request";
     let s = Settings {
         classes: list(&v, "classes")?.iter().map(class).collect::<Result<_, _>>()?,
-        tenants: list(&v, "tenants")?
-            .iter()
-            .map(|t| Ok(Tenant { quota_rps: figure(t, "quotaRps", Some(0.0))? }))
-            .collect::<Result<_, WireError>>()?,
         goal: Goal {
             whole: f("blend.whole", 1.0)?,
             worst_window: f("blend.worstWindow", 0.0)?,
@@ -471,7 +460,6 @@
     };
     let names = Names {
         classes: list(&v, "classes")?.iter().map(name_of).collect(),
-        tenants: list(&v, "tenants")?.iter().map(name_of).collect(),
         zones,
         backends: HashMap::new(),
     };
