Hand bans, cold and congested servers and caps to the next process in a file

Design: a versioned JSON file in $TMPDIR, replaced by a rename, written at each call that changes who is out of service and once a second; half a state is none, and a process without one starts all the same. Each such call raises a number; a process that finds a higher one takes that set over within 0.2 s, so that a call to either of two holds for both. A process with a live successor takes no new connections when told to stop. Two processes take half of the limits each. Not taken: a message from the old process to the new one over a socket, since the old one does not hear of the new one before it is told to stop, and may be killed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,8 +5,8 @@
 //! send passes through `Balancer::may_send`, every refusal through `Balancer::answer`.
 
 use crate::interface::{
-    Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Outcome,
-    Reporting, Request, RequestId, Settings, SettingsError,
+    Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Memory,
+    Outcome, Reporting, Request, RequestId, Settings, SettingsError,
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -423,6 +423,7 @@
                 out.push(Action::Release(id));
             }
             Event::Enable(id) => self.on_enable(now, id),
+            Event::Inherit(memory) => self.on_inherit(now, &memory),
             Event::Timer(_) | Event::Started { .. } | Event::Message { .. } | Event::Probed { .. } => {}
         }
     }
@@ -564,6 +565,38 @@
         b.record.revive();
     }
 
+    /// What the next process of this node has to know.
+    pub fn memory(&self, now: f64) -> Vec<Memory> {
+        let cold = |b: &Backend| (now - b.cold_since < self.s.cold_ms).then_some(b.cold_since);
+        let prat = |b: &Backend| b.record.congested.then_some(b.record.prat);
+        let told = |b: &Backend| Memory {
+            backend: b.id,
+            cold_since_ms: cold(b),
+            prat_ms: prat(b),
+            cap: b.cap.limit,
+        };
+        self.backends.iter().map(told).collect()
+    }
+
+    /// Takes over what the process before this one knew of the backends that the list names.
+    fn on_inherit(&mut self, now: f64, memory: &[Memory]) {
+        for m in memory {
+            let Some(i) = self.find(m.backend) else { continue };
+            let b = &mut self.backends[i];
+            b.cold_since = m.cold_since_ms.map_or(b.cold_since, |since| since.max(b.cold_since));
+            (b.record.congested, b.record.prat) = (m.prat_ms.is_some(), m.prat_ms.unwrap_or(0.0));
+            if m.cap.is_finite() && m.cap > 0.0 {
+                (b.cap.limit, b.cap.cut_at) = (m.cap, now);
+            }
+        }
+        self.place(now);
+    }
+
+    /// Who is out of service by a call of the operators.
+    pub fn out(&self) -> impl Iterator<Item = BackendId> {
+        self.out.iter().filter(|(_, until)| until.is_infinite()).map(|(id, _)| *id)
+    }
+
     /// Out of service by a call of the operators.
     pub fn is_out(&self, id: BackendId) -> bool {
         self.out.get(&id).is_some_and(|until| until.is_infinite())
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -345,6 +345,19 @@
     pub retry: bool,
 }
 
+/// What one process of a node tells the next of a backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Memory {
+    /// Which backend.
+    pub backend: BackendId,
+    /// Start of its cold time, if that is not over.
+    pub cold_since_ms: Option<f64>,
+    /// Its PRAT, if it is congested.
+    pub prat_ms: Option<f64>,
+    /// The learned cap.
+    pub cap: f64,
+}
+
 /// What a node learns.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -406,6 +419,8 @@
     Disable(BackendId),
     /// They put it back.
     Enable(BackendId),
+    /// What the process before this one knew. Comes once, after the saved list.
+    Inherit(Vec<Memory>),
     /// A message from another node.
     Message {
         /// Its number.
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -4,6 +4,7 @@
 //! descriptors are kept free, and when all places are taken whoever has been silent for longest goes.
 
 use crate::driver::Driver;
+use crate::handover::Handover;
 use crate::log;
 use crate::server::Server;
 use crate::socket::Descriptors;
@@ -96,6 +97,8 @@
 pub struct Console {
     driver: Rc<Driver>,
     server: Rc<Server>,
+    /// Where another process may run beside this one.
+    handover: Option<Rc<Handover>>,
     descriptors: Rc<Descriptors>,
     /// Who has brought no whole call yet, the oldest first. Dropping the handle is the notice to go.
     waiting: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
@@ -115,9 +118,14 @@
 
 impl Console {
     /// A console that nobody has called yet.
-    pub fn new(driver: Rc<Driver>, server: Rc<Server>, descriptors: Rc<Descriptors>) -> Rc<Console> {
+    pub fn new(
+        driver: Rc<Driver>,
+        server: Rc<Server>,
+        handover: Option<Rc<Handover>>,
+        descriptors: Rc<Descriptors>,
+    ) -> Rc<Console> {
         let (waiting, open, next) = (RefCell::default(), Cell::new(0), Cell::new(0));
-        Rc::new(Console { driver, server, descriptors, waiting, open, next })
+        Rc::new(Console { driver, server, handover, descriptors, waiting, open, next })
     }
 
     /// Where callers come.
@@ -193,12 +201,12 @@
         let answer = match call {
             Call::Ready if self.server.ready() => return Ok("takes clients"),
             Call::Ready => return Err("takes no clients"),
-            Call::Disable(id) => match self.driver.call(id, true) {
+            Call::Disable(id) => match self.call(id, true) {
                 Some(true) => Ok("out of service"),
                 Some(false) => Ok("out of service already"),
                 None => Err(UNKNOWN),
             },
-            Call::Enable(id) => match self.driver.call(id, false) {
+            Call::Enable(id) => match self.call(id, false) {
                 Some(true) => Ok("in service again, cold"),
                 Some(false) => Ok("was not out of service"),
                 None => Err(UNKNOWN),
@@ -210,6 +218,15 @@
         log::line(&format!("console: {call:?}: {told}"));
         answer
     }
+
+    /// True if the call changed anything, none for an id that is unknown.
+    fn call(&self, id: &str, out: bool) -> Option<bool> {
+        let changed = self.driver.call(id, out);
+        if let (Some(true), Some(handover)) = (changed, &self.handover) {
+            handover.called(&self.driver);
+        }
+        changed
+    }
 }
 
 /// Reads up to the first line's end, which is not kept.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -8,11 +8,11 @@
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
-    Action, BackendId, Entry, Event, Health, ListKind, Outcome, Request, RequestId,
+    Action, BackendId, Entry, Event, Health, ListKind, Memory, Outcome, Request, RequestId,
 };
 use birchspoke::wire::stable_hash;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -135,6 +135,8 @@
     Disable(BackendId),
     /// They put it back.
     Enable(BackendId),
+    /// What the process before this one knew.
+    Inherit(Vec<Memory>),
     /// Another node's message.
     Message(u32, Vec<u8>),
 }
@@ -252,6 +254,16 @@
         Some(was_out != out)
     }
 
+    /// Who is out of service.
+    pub fn out(&self) -> BTreeSet<BackendId> {
+        self.core.borrow().balancer.out().collect()
+    }
+
+    /// What the next process has to know.
+    pub fn memory(&self) -> Vec<Memory> {
+        self.core.borrow().balancer.memory(self.clock.now_ms())
+    }
+
     /// The one way in. What comes up while an event is handled waits for its end.
     pub fn take(self: &Rc<Self>, input: Input) {
         self.inbox.borrow_mut().push_back(input);
@@ -409,6 +421,7 @@
             Input::Timer(token) => Event::Timer(token),
             Input::Disable(id) => Event::Disable(id),
             Input::Enable(id) => Event::Enable(id),
+            Input::Inherit(memory) => Event::Inherit(memory),
             Input::Message(from, bytes) => Event::Message { from, bytes },
         })
     }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,9 +1,22 @@
 //! What a process takes over from the one before it: the clients' listening socket, which the platform holds
-//! and every process of the node inherits.
+//! and every process of the node inherits, and a small file in `$TMPDIR` with what was learned and called.
+//!
+//! While two processes run, either may be called by the operators. Each call that changes who is out of service
+//! raises a number in the file, and a process that finds a higher one than its own takes that over.
 
+use crate::driver::{Driver, Input};
+use crate::log;
+use birchspoke::interface::{BackendId, Memory};
+use serde_json::{Value, json};
 use socket2::Socket;
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Names the inherited descriptor.
@@ -52,3 +65,196 @@
     // this process has opened anything, so nothing else here owns it. Standard streams are excluded.
     Some(unsafe { OwnedFd::from_raw_fd(fd) })
 }
+
+/// What is written, and read, in this form alone.
+const VERSION: u64 = 1;
+const FILE: &str = "node-state.json";
+/// A longer file is none of ours.
+const LONGEST: u64 = 1024 * 1024;
+/// How often the file is looked at, and in how many of those turns it is written.
+const TURN: Duration = Duration::from_millis(200);
+const WRITE_EVERY: u32 = 5;
+
+/// What stands in the file.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct State {
+    /// The process that serves, or last did.
+    pid: u32,
+    /// How many calls have changed who is out of service.
+    calls: u64,
+    out: BTreeSet<BackendId>,
+    backends: Vec<Memory>,
+}
+
+impl State {
+    fn to_json(&self) -> Value {
+        let id = |b: &BackendId| format!("{:016x}", b.0);
+        let backends: Vec<Value> = (self.backends.iter())
+            .map(|m| json!({"id": id(&m.backend), "cold_since_ms": m.cold_since_ms, "prat_ms": m.prat_ms, "cap": m.cap}))
+            .collect();
+        let out: Vec<String> = self.out.iter().map(id).collect();
+        json!({"version": VERSION, "pid": self.pid, "calls": self.calls, "out": out, "backends": backends})
+    }
+
+    /// None where any part is missing or not of its kind: half a state is none.
+    fn from_json(json: &Value) -> Option<State> {
+        let id = |v: &Value| u64::from_str_radix(v.as_str()?, 16).ok().map(BackendId);
+        let time = |v: &Value| match v {
+            Value::Null => Some(None),
+            v => v.as_f64().map(Some),
+        };
+        let memory = |v: &Value| {
+            Some(Memory {
+                backend: id(v.get("id")?)?,
+                cold_since_ms: time(v.get("cold_since_ms")?)?,
+                prat_ms: time(v.get("prat_ms")?)?,
+                cap: v.get("cap")?.as_f64()?,
+            })
+        };
+        if json.get("version")?.as_u64()? != VERSION {
+            return None;
+        }
+        Some(State {
+            pid: json.get("pid")?.as_u64()?.try_into().ok()?,
+            calls: json.get("calls")?.as_u64()?,
+            out: json.get("out")?.as_array()?.iter().map(id).collect::<Option<_>>()?,
+            backends: json.get("backends")?.as_array()?.iter().map(memory).collect::<Option<_>>()?,
+        })
+    }
+}
+
+/// What this process leaves to the next, and shares with one that runs beside it.
+pub struct Handover {
+    folder: PathBuf,
+    pid: u32,
+    /// The last call that this process knows of.
+    calls: Cell<u64>,
+}
+
+impl Handover {
+    /// In the folder for temporary files, which all processes of the node have in common.
+    pub fn new() -> Rc<Handover> {
+        Rc::new(Handover { folder: std::env::temp_dir(), pid: std::process::id(), calls: Cell::new(0) })
+    }
+
+    /// None where there is no file yet.
+    fn read(&self) -> Result<Option<State>, String> {
+        let path = self.folder.join(FILE);
+        let length = match std::fs::metadata(&path) {
+            Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
+            Err(e) => return Err(e.to_string()),
+            Ok(found) => found.len(),
+        };
+        if length > LONGEST {
+            return Err(format!("{length} bytes are too many"));
+        }
+        let text = std::fs::read(&path).map_err(|e| e.to_string())?;
+        let json = serde_json::from_slice(&text).map_err(|e| e.to_string())?;
+        State::from_json(&json).map(Some).ok_or_else(|| format!("not a state of version {VERSION}"))
+    }
+
+    /// Replaces the file in one step, so that nobody reads half of it.
+    fn write(&self, state: &State) {
+        let draft = self.folder.join(format!("{FILE}.{}", self.pid));
+        let written = std::fs::write(&draft, state.to_json().to_string())
+            .and_then(|()| std::fs::rename(&draft, self.folder.join(FILE)));
+        if let Err(e) = written {
+            log::line(&format!("handover: state not written: {e}"));
+        }
+    }
+
+    fn of(&self, driver: &Driver) -> State {
+        State { pid: self.pid, calls: self.calls.get(), out: driver.out(), backends: driver.memory() }
+    }
+
+    /// Takes over what the process before this one left, and declares this one the serving one.
+    pub fn take_over(&self, driver: &Rc<Driver>) {
+        match self.read() {
+            Ok(Some(state)) => {
+                let State { pid, calls, out, backends } = state;
+                let (servers, banned) = (backends.len(), out.len());
+                log::line(&format!(
+                    "handover: from process {pid}: {servers} servers, {banned} out of service"
+                ));
+                self.calls.set(calls);
+                driver.take(Input::Inherit(backends));
+                out.into_iter().for_each(|id| driver.take(Input::Disable(id)));
+            }
+            Ok(None) => log::line("handover: no state, starts without"),
+            Err(e) => log::line(&format!("handover: state cannot be used, starts without: {e}")),
+        }
+        self.write(&self.of(driver));
+    }
+
+    /// Tells the other process, if there is one, of a call that changed who is out of service.
+    pub fn called(&self, driver: &Rc<Driver>) {
+        let there = self.read().ok().flatten();
+        self.calls.set(there.as_ref().map_or(0, |s| s.calls).max(self.calls.get()) + 1);
+        let own = self.of(driver);
+        // The other may serve by now; what it knows of the backends is newer.
+        self.write(&match there {
+            Some(there) => State { calls: own.calls, out: own.out, ..there },
+            None => own,
+        });
+    }
+
+    /// Another process has taken over and runs.
+    pub fn succeeded(&self) -> bool {
+        self.read().ok().flatten().is_some_and(|there| self.is_other(there.pid))
+    }
+
+    /// That is another process, and it runs.
+    fn is_other(&self, pid: u32) -> bool {
+        pid != self.pid && std::fs::exists(format!("/proc/{pid}")).unwrap_or(false)
+    }
+
+    /// Keeps the file and this process in step for as long as the process lives.
+    pub async fn keep(self: Rc<Self>, driver: Rc<Driver>) {
+        let mut turns = tokio::time::interval(TURN);
+        turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        for turn in 0_u32.. {
+            turns.tick().await;
+            let there = self.read().ok().flatten();
+            if let Some(state) = there.as_ref().filter(|s| s.calls > self.calls.get()) {
+                self.calls.set(state.calls);
+                let known = driver.out();
+                state.out.difference(&known).for_each(|id| driver.take(Input::Disable(*id)));
+                known.difference(&state.out).for_each(|id| driver.take(Input::Enable(*id)));
+                log::line(&format!("handover: call {}: {} out of service", state.calls, state.out.len()));
+            }
+            if turn % WRITE_EVERY == 0 && !there.is_some_and(|s| self.is_other(s.pid)) {
+                self.write(&self.of(&driver));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_state_is_read_as_it_was_written_and_half_of_one_is_none() {
+        let state = State {
+            pid: 7,
+            calls: 3,
+            out: [BackendId(u64::MAX), BackendId(1)].into(),
+            backends: vec![
+                Memory { backend: BackendId(1), cold_since_ms: Some(1.5), prat_ms: None, cap: 2.25 },
+                Memory { backend: BackendId(2), cold_since_ms: None, prat_ms: Some(9.0), cap: 0.5 },
+            ],
+        };
+        let json = state.to_json();
+        assert_eq!(State::from_json(&json), Some(state));
+        let fields: Vec<String> = json.as_object().map(|o| o.keys().cloned().collect()).unwrap_or_default();
+        assert_eq!(fields.len(), 5);
+        for field in fields {
+            let mut less = json.clone();
+            less.as_object_mut().map(|o| o.remove(&field));
+            assert_eq!(State::from_json(&less), None, "without {field}");
+            let mut other = json.clone();
+            other[&field] = json!("x");
+            assert_eq!(State::from_json(&other), None, "{field} of another kind");
+        }
+    }
+}
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -16,6 +16,7 @@
 use crate::console::Console;
 use crate::discovery::{Listing, Watch};
 use crate::driver::{Driver, Input};
+use crate::handover::Handover;
 use crate::peers::Peers;
 use crate::request::Reader;
 use crate::server::Server;
@@ -77,7 +78,8 @@
     let hangup = signal(SignalKind::hangup())?;
     let config = Config::load().map_err(|e| format!("configuration: {e}"))?;
     // Where the platform holds the listening socket, another process may serve beside this one.
-    let shared = inherited.is_some();
+    let handover = inherited.is_some().then(Handover::new);
+    let shared = handover.is_some();
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener),
         None => listen(&config),
@@ -88,8 +90,11 @@
         None => None,
     };
     let settings = config.settings.clone();
-    let descriptors = Descriptors::new(config.sockets);
-    let buffer = (config.memory / BUFFERS_PART / config.sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
+    // Two processes together may hold no more than one.
+    let (sockets, memory) =
+        if shared { (config.sockets / 2, config.memory / 2) } else { (config.sockets, config.memory) };
+    let descriptors = Descriptors::new(sockets);
+    let buffer = (memory / BUFFERS_PART / sockets.max(1)).clamp(LEAST_BUFFER, MOST_BUFFER);
     let upstream =
         Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms, buffer);
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
@@ -107,6 +112,10 @@
     let known = discovery::listing(&config.known, &names);
     let rev = known.as_ref().and_then(Listing::version);
     driver.take(Input::List(ListKind::Saved, known.map_or_else(Vec::new, |known| known.targets)));
+    if let Some(handover) = &handover {
+        handover.take_over(&driver);
+        spawn_local(handover.clone().keep(driver.clone()));
+    }
     let (told, address) = watch::channel(config.discovery);
     let watch = Watch {
         address,
@@ -132,11 +141,13 @@
     });
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
-    let reader = Reader::new(names, settings.classes, config.memory / BODIES_PART);
+    let reader = Reader::new(names, settings.classes, memory / BODIES_PART);
     let open_cap = settings.open_cap as usize;
     let server = Server::new(driver.clone(), reader, open_cap, buffer, descriptors.clone());
     if let Some(console) = console {
-        spawn_local(Console::new(driver.clone(), server.clone(), descriptors).accept(console));
+        spawn_local(
+            Console::new(driver.clone(), server.clone(), handover.clone(), descriptors).accept(console),
+        );
     }
     let at = listener.local_addr().unwrap_or(config.listen);
     log::line(&format!(
@@ -148,9 +159,11 @@
         spawn_local(async move { server.accept(listener).await })
     };
     terminate.recv().await;
-    log::line("told to stop: answers what comes and what is there, then ends");
+    let succeeded = handover.is_some_and(|h| h.succeeded());
+    let comes = if succeeded { "a successor takes new connections" } else { "answers what comes" };
+    log::line(&format!("told to stop: {comes}; answers what is there, then ends"));
     let end = Instant::now() + longest + LAST_ANSWERS;
-    server.stop();
+    server.stop(succeeded);
     // Whatever became of the accept loop, what was taken is answered.
     let _ = tokio::time::timeout_at(end.into(), accepting).await;
     server.wind_down(end).await;
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -155,6 +155,7 @@
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     stopping: Cell<Option<Instant>>,
+    succeeded: Cell<bool>,
     /// Since when operators want no clients here.
     drained: Cell<Option<Instant>>,
     stop: Notify,
@@ -179,6 +180,7 @@
             clients: RefCell::default(),
             next: Cell::new(0),
             stopping: Cell::new(None),
+            succeeded: Cell::new(false),
             drained: Cell::new(None),
             stop: Notify::new(),
             closed: Notify::new(),
@@ -221,6 +223,9 @@
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
         let mut last = Instant::now();
         loop {
+            if self.succeeded.get() {
+                return;
+            }
             let quiet_at =
                 self.stopping.get().map(|at| (at + ACCEPT_ON).max(last + QUIET).min(at + ACCEPT_END));
             let quiet = async {
@@ -261,9 +266,11 @@
         }
     }
 
-    /// From now on every answer closes its connection.
-    pub fn stop(&self) {
+    /// From now on every answer closes its connection. New ones are taken for a while, or not at all where
+    /// another process `succeeds` this one on the same socket.
+    pub fn stop(&self, succeeded: bool) {
         self.stopping.set(Some(Instant::now()));
+        self.succeeded.set(succeeded);
         self.stop.notify_one();
     }
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -1091,3 +1091,50 @@
         assert!(sent <= 1, "{sent} at once to a cold backend");
     }
 }
+
+// ---- from one process to the next ----
+
+#[test]
+fn a_process_takes_over_who_is_cold_who_is_congested_and_the_caps() {
+    let mut old = safe(3);
+    old.warm_up(300, 0, 10.0);
+    let [cold, dead, fine] = [up(1), up(2), up(3)].map(|e| e.backend);
+    old.feed(Event::Disable(cold));
+    old.feed(Event::Enable(cold));
+    old.list(
+        ListKind::Changes,
+        vec![Entry { health: Health::Draining, ..up(1) }, Entry { health: Health::Draining, ..up(3) }],
+    );
+    while !old.logs.iter().any(|l| l.starts_with("congested")) {
+        let id = old.ask(0, Some(1));
+        old.end(id, Outcome::Reset);
+    }
+    old.list(ListKind::Changes, vec![up(1), up(3)]);
+    let memory = old.balancer.memory(old.now);
+    let of = |b: BackendId| memory.iter().find(|m| m.backend == b).expect("told");
+    assert!(of(cold).cold_since_ms.is_some() && of(fine).cold_since_ms.is_none());
+    assert!(of(dead).prat_ms.is_some() && of(fine).prat_ms.is_none());
+    let mut new = World::new(old.s.clone(), 2);
+    new.now = old.now;
+    new.list(ListKind::Saved, vec![up(1), up(2), up(3)]);
+    new.feed(Event::Inherit(memory.clone()));
+    assert_eq!(new.balancer.memory(new.now), memory, "as the old process knew it");
+    let ids: Vec<_> = (0..6).map(|n| new.ask(0, Some(n))).collect();
+    let sent = |b| ids.iter().filter(|id| new.at(**id) == Some(b)).count();
+    assert_eq!(sent(dead), 0, "nothing before its PRAT");
+    assert!(sent(cold) <= 1, "no more than a cold one bears");
+    assert!(sent(fine) > 0);
+}
+
+#[test]
+fn what_is_taken_over_of_unknown_backends_or_in_odd_figures_does_no_harm() {
+    let mut w = safe(1);
+    let odd = |backend, cap| Memory { backend, cold_since_ms: Some(f64::NAN), prat_ms: None, cap };
+    w.feed(Event::Inherit(vec![
+        odd(BackendId(77), 1.0),
+        odd(up(1).backend, f64::NAN),
+        odd(up(1).backend, -1.0),
+    ]));
+    let id = w.ask(0, Some(1));
+    assert_eq!(w.at(id), Some(up(1).backend));
+}
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -84,3 +84,88 @@
     let _ = std::fs::remove_file(&path);
     assert!(log.contains(not_listening), "a Unix socket: {log}");
 }
+
+/// Three backends with a record each, and a discovery that lists them.
+fn three_backends() -> (Vec<Record>, Discovery) {
+    let records: Vec<Record> = (0..3).map(|_| Record::default()).collect();
+    let addresses: Vec<_> = records.iter().map(|r| backend(r, |_, _| ok(b"ok"))).collect();
+    (records, Discovery::start(all_up(&addresses)))
+}
+
+fn ask_many(node: &Node, count: usize) {
+    (0..count).for_each(|_| assert_eq!(ask(node.address, &request("page", 4000)).status(), 200));
+}
+
+#[test]
+fn a_ban_outlives_the_process_and_holds_for_both_while_there_are_two() {
+    let (records, discovery) = three_backends();
+    let socket = TcpListener::bind(free_address()).unwrap();
+    let folder = folder("ban");
+    let old = Node::inherit(discovery.address, &socket, &folder, with_console);
+    wait_for("the old process is ready", || old.up() == 200);
+    assert!(old.call("disable-server s-0").starts_with("done"));
+    let mut new = Node::inherit(discovery.address, &socket, &folder, with_console);
+    wait_for("the new process is ready", || call_if(&new, "ready").starts_with("done"));
+    ask_many(&new, 40);
+    assert_eq!(records[0].count(), 0, "out of service for both");
+    // A call to either reaches the other.
+    for (called, told) in [(&new, &old), (&old, &new)] {
+        let other = if std::ptr::eq(called, &new) { "s-1" } else { "s-0" };
+        let back = if other == "s-1" { "s-0" } else { "s-1" };
+        assert!(called.call(&format!("enable-server {back}")).starts_with("done in service"));
+        assert!(called.call(&format!("disable-server {other}")).starts_with("done out of service"));
+        wait_for("the other process knows", || {
+            told.call(&format!("disable-server {other}")).starts_with("done out of service already")
+        });
+    }
+    drop(old);
+    ask_many(&new, 20);
+    let before = records[0].count();
+    ask_many(&new, 20);
+    assert_eq!(records[0].count(), before, "the last call holds");
+    assert!(new.running());
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_state_that_cannot_be_read_is_no_reason_not_to_start() {
+    let (_, discovery) = three_backends();
+    let folder = folder("garbled");
+    for (text, why) in [
+        (&b"{\"version\":1,\"pid\":1,\"calls\":"[..], "cannot be used"),
+        (b"{\"version\":2}", "not a state of version 1"),
+        (b"\xff\x00", "cannot be used"),
+    ] {
+        let socket = TcpListener::bind(free_address()).unwrap();
+        std::fs::write(folder.join("node-state.json"), text).unwrap();
+        let mut node = Node::inherit(discovery.address, &socket, &folder, with_console);
+        wait_for("it is ready", || node.up() == 200);
+        ask_many(&node, 1);
+        node.terminate();
+        assert!(node.ended().success());
+        let log = node.log();
+        assert!(log.contains("starts without") && log.contains(why), "{log}");
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_process_with_a_successor_takes_no_new_connections_once_told_to_stop() {
+    let (_, discovery) = three_backends();
+    let socket = TcpListener::bind(free_address()).unwrap();
+    let folder = folder("stop");
+    let mut old = Node::inherit(discovery.address, &socket, &folder, with_console);
+    wait_for("the old process is ready", || old.up() == 200);
+    let mut kept = Client::connect(old.address);
+    assert_eq!(kept.ask(&request("page", 4000)).status(), 200);
+    let new = Node::inherit(discovery.address, &socket, &folder, with_console);
+    wait_for("the new process is ready", || call_if(&new, "ready").starts_with("done"));
+    old.terminate();
+    assert!(old.ended().success());
+    // On its kept connection the old one said nothing more than goodbye, and the new one serves all that come.
+    assert!(kept.answer().is_none());
+    ask_many(&new, 20);
+    let log = old.log();
+    assert!(log.contains("a successor takes new connections"), "{log}");
+    let _ = std::fs::remove_dir_all(folder);
+}
