--- a/src/balance.rs
+++ b/src/balance.rs
@@ -424,7 +424,11 @@
             }
             Event::Enable(id) => self.on_enable(now, id),
             Event::Inherit(memory) => self.on_inherit(now, &memory),
-            Event::Timer(_) | Event::Started { .. } | Event::Message { .. } | Event::Probed { .. } => {}
+            Event::Whole(id) => self.on_whole(now, id),
+            Event::Started { id, attempt, elapsed_ms, .. } => {
+                self.on_ended(now, id, attempt, (Outcome::Done, true, elapsed_ms), &Load::default(), out);
+            }
+            Event::Timer(_) | Event::Message { .. } | Event::Probed { .. } => {}
         }
     }
 
@@ -511,10 +515,9 @@
             }
         }
         for e in entries {
-            let known = e.ready_at_ms.is_finite() && e.ready_at_ms > 0.0;
             let back = self.out.get(&e.backend).copied().filter(|until| until.is_finite());
-            let ready = if known { e.ready_at_ms } else { f64::NEG_INFINITY };
-            let ready = back.map_or(ready, |back| back.max(ready));
+            let told = Some(e.ready_at_ms).filter(|at| at.is_finite() && *at > 0.0);
+            let ready = back.into_iter().chain(told).fold(f64::NEG_INFINITY, f64::max);
             let found = self.backends.binary_search_by_key(&e.backend, |b| b.id);
             let index = found.unwrap_or_else(|i| {
                 let fresh = Backend {
@@ -585,9 +588,8 @@
             let b = &mut self.backends[i];
             b.cold_since = m.cold_since_ms.map_or(b.cold_since, |since| since.max(b.cold_since));
             (b.record.congested, b.record.prat) = (m.prat_ms.is_some(), m.prat_ms.unwrap_or(0.0));
-            if m.cap.is_finite() && m.cap > 0.0 {
-                (b.cap.limit, b.cap.cut_at) = (m.cap, now);
-            }
+            let cap = Some(m.cap).filter(|cap| cap.is_finite() && *cap > 0.0);
+            (b.cap.limit, b.cap.cut_at) = (cap.unwrap_or(b.cap.limit), now);
         }
         self.place(now);
     }
@@ -597,8 +599,7 @@
         self.out.iter().filter(|(_, until)| until.is_infinite()).map(|(id, _)| *id)
     }
 
-    /// Out of service by a call of the operators.
-    pub fn is_out(&self, id: BackendId) -> bool {
+    fn is_out(&self, id: BackendId) -> bool {
         self.out.get(&id).is_some_and(|until| until.is_infinite())
     }
 
@@ -984,6 +985,16 @@
         (wait + t * (1.0 + self.rng.f64())).min(self.s.max_retry_after_ms)
     }
 
+    /// The last byte of its body has come, later than its head: all its times count from here.
+    fn on_whole(&mut self, now: f64, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let late = now - open.arrived;
+        open.arrived = now;
+        open.aim_at += late;
+        open.request.deadline_ms += late;
+        open.attempts.iter_mut().for_each(|a| a.sent += late);
+    }
+
     fn on_left(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.finished = true;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -372,7 +372,9 @@
     },
     /// A request to answer.
     Request(Request),
-    /// A streamed answer has begun.
+    /// The last byte of a request's body has come. Only where it was asked for before: its time counts from here.
+    Whole(RequestId),
+    /// A streamed answer has begun: the request is served, whatever becomes of the rest.
     Started {
         /// The request.
         id: RequestId,
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -3,11 +3,9 @@
 use crate::driver::{Driver, Input, Target};
 use crate::log;
 use crate::socket::Descriptors;
-use crate::upstream::Conn;
+use crate::upstream::{Conn, Sending};
 use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use birchspoke::wire::{Names, stable_hash};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde_json::Value;
@@ -223,7 +221,7 @@
                 (path, Duration::from_millis(wait_ms))
             }
         };
-        let request = Request::get(path).header(HOST, at.to_string()).body(Full::<Bytes>::default())?;
+        let request = Request::get(path).header(HOST, at.to_string()).body(Sending::empty())?;
         tokio::time::timeout(wait + SLACK, self.exchange(at, conn, request)).await?
     }
 
@@ -231,7 +229,7 @@
         &self,
         at: SocketAddr,
         kept: &mut Option<Conn>,
-        request: Request<Full<Bytes>>,
+        request: Request<Sending>,
     ) -> Result<Listing, Box<dyn Error>> {
         let mut conn = match kept.take().filter(Conn::alive) {
             Some(conn) => conn,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -5,7 +5,7 @@
 
 use crate::log;
 use crate::peers::Peers;
-use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
+use crate::upstream::{Call, Conn, End, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
     Action, BackendId, Entry, Event, Health, ListKind, Memory, Outcome, Request, RequestId,
@@ -14,6 +14,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
@@ -50,7 +51,6 @@
 }
 
 /// A request's final answer.
-#[derive(Debug)]
 pub enum Answer {
     /// A backend's.
     Served(Reply),
@@ -77,16 +77,23 @@
 pub struct Ticket {
     driver: Rc<Driver>,
     id: RequestId,
+    call: Rc<Call>,
     answer: oneshot::Receiver<Answer>,
+    begun: Instant,
     expires: Instant,
 }
 
 impl Ticket {
     /// Waits for the answer; past the deadline that is a failure, whatever is still out.
     pub async fn answer(mut self) -> Answer {
-        match tokio::time::timeout_at(self.expires.into(), &mut self.answer).await {
-            Ok(answer) => answer.unwrap_or(Answer::Failed),
-            Err(_) => Answer::Failed,
+        let call = self.call.clone();
+        let expired = async {
+            let late = call.whole().await.map(|at| at.saturating_duration_since(self.begun));
+            tokio::time::sleep_until((self.expires + late.unwrap_or_default()).into()).await;
+        };
+        tokio::select! {
+            answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
+            () = expired => Answer::Failed,
         }
     }
 }
@@ -116,6 +123,21 @@
     Arrived(Request, Rc<Call>, Owed),
     /// The client is gone, or needs nothing any more.
     Left(RequestId),
+    /// The last byte of a request's body has come and gone on.
+    Whole(RequestId),
+    /// A long answer has begun.
+    Begun {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+        /// At which backend.
+        backend: BackendId,
+        /// What has come.
+        finish: Finish,
+        /// Time since the send.
+        elapsed_ms: f64,
+    },
     /// An attempt is over.
     Ended {
         /// The request.
@@ -218,8 +240,9 @@
         request.id = id;
         request.deadline_ms = self.clock.at_ms(deadline);
         let (owed, answer) = oneshot::channel();
-        self.take(Input::Arrived(request, Rc::new(call), Owed(owed)));
-        Ticket { driver: self.clone(), id, answer, expires }
+        let (call, begun) = (Rc::new(call), Instant::now());
+        self.take(Input::Arrived(request, call.clone(), Owed(owed)));
+        Ticket { driver: self.clone(), id, call, answer, begun, expires }
     }
 
     /// Requests that are not over.
@@ -247,7 +270,7 @@
         let id = BackendId(stable_hash(uid));
         let was_out = {
             let core = self.core.borrow();
-            let was_out = core.balancer.is_out(id);
+            let was_out = core.balancer.out().any(|b| b == id);
             (was_out || core.listed.contains(&id)).then_some(was_out)?
         };
         self.take(if out { Input::Disable(id) } else { Input::Enable(id) });
@@ -312,32 +335,60 @@
 
     fn send(self: &Rc<Self>, core: &mut Core, id: RequestId, backend: BackendId, timeout_ms: f64) {
         let Some(open) = core.open.get_mut(&id) else { return };
-        let attempt = u32::try_from(open.attempts.len()).unwrap_or(u32::MAX);
+        let number = u32::try_from(open.attempts.len()).unwrap_or(u32::MAX);
         let (off, mut called_off) = oneshot::channel::<()>();
         let mut report = Report {
             driver: self.clone(),
             id,
-            attempt,
+            attempt: number,
             backend,
             begun: Instant::now(),
             finish: Some(Outcome::Reset.into()),
         };
         open.attempts.push(Some(off));
         let place = core.places.get(&backend);
-        let (Some(_), Some(place)) = (&open.owed, place) else {
+        let (Some(_), Some(place), true) = (&open.owed, place, open.call.sendable()) else {
             let outcome = if place.is_some() { Outcome::Skipped } else { Outcome::NotConnected };
             report.finish = Some(outcome.into());
             return;
         };
         let until = report.begun + Duration::from_secs_f64(timeout_ms.clamp(0.0, 1e9) / 1000.0);
-        let errand = Errand { backend, address: place.address, call: open.call.clone(), until };
+        let begun = report.begun;
+        let errand = Errand { backend, address: place.address, call: open.call.clone(), until, begun };
         let driver = self.clone();
         spawn_local(async move {
             let wanted = || driver.stands(id, errand.backend);
-            let (finish, conn) = tokio::select! {
-                biased;
-                _ = &mut called_off => (Outcome::Cancelled.into(), None),
-                end = driver.upstream.attempt(&errand, wanted) => end,
+            let mut attempt = pin!(driver.upstream.attempt(&errand, wanted));
+            let whole = async {
+                if let Some(at) = errand.call.whole().await {
+                    driver.take(Input::Whole(id));
+                    return at;
+                }
+                std::future::pending().await
+            };
+            let mut whole = pin!(whole);
+            let end = loop {
+                tokio::select! {
+                    biased;
+                    _ = &mut called_off => break End::Over(Outcome::Cancelled.into(), None),
+                    at = &mut whole, if report.begun == errand.begun => report.begun = at,
+                    end = &mut attempt => break end,
+                }
+            };
+            let (finish, conn) = match end {
+                End::Over(finish, conn) => (finish, conn),
+                End::Begun(finish, told) => {
+                    let elapsed_ms = report.begun.elapsed().as_secs_f64() * 1000.0;
+                    driver.take(Input::Begun { id, attempt: number, backend, finish, elapsed_ms });
+                    let (outcome, conn) = told.await.unwrap_or((Outcome::Cancelled, None));
+                    if !matches!(outcome, Outcome::Done | Outcome::Cancelled) {
+                        log::line(&format!(
+                            "{:016x} broke off an answer that had begun: {outcome:?}",
+                            backend.0
+                        ));
+                    }
+                    (outcome.into(), conn)
+                }
             };
             report.finish = Some(finish);
             drop(report);
@@ -404,6 +455,12 @@
                 self.settle(id, Answer::Failed);
                 Event::Left(id)
             }
+            Input::Whole(id) => Event::Whole(id),
+            Input::Begun { id, attempt, backend, finish, elapsed_ms } => {
+                let reply = finish.reply?;
+                self.open.get_mut(&id)?.owed.take()?.settle(Answer::Served(reply));
+                Event::Started { id, attempt, backend, elapsed_ms }
+            }
             Input::Ended { id, attempt, backend, finish, elapsed_ms } => {
                 let open = self.open.get_mut(&id)?;
                 open.attempts.get_mut(attempt as usize)?.take()?;
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -3,11 +3,11 @@
 //! What is turned away costs no backend anything and is answered at once. Its connection ends with the answer:
 //! the rest of what such a client sends is not wanted, and may not mean what it seems to.
 
-use crate::upstream::{BODY_LIMIT, Call, EXPIRES};
+use crate::upstream::{Answering, Asking, BODY_LIMIT, Call, EXPIRES, KEPT, Pace, Upload};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
 use birchspoke::wire::{Names, stable_hash};
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
@@ -27,8 +27,6 @@
 const MARGIN: Duration = Duration::from_millis(4);
 /// And so long before, the node ends what the decisions have not.
 const LAST_MARGIN: Duration = Duration::from_millis(1);
-/// A body that is not there so long after its head is not waited for.
-const BODY_TIME: Duration = Duration::from_millis(600);
 /// When to come back to a node that is full.
 const FULL_FOR: &str = "1";
 
@@ -45,11 +43,11 @@
 ];
 
 /// An answer of this node's own.
-pub type Own = Response<Full<Bytes>>;
+pub type Own = Response<Answering>;
 
 /// An answer with a fixed text.
 pub fn plain(status: StatusCode, text: &'static str) -> Own {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut response = Response::new(Answering::of(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
@@ -118,7 +116,7 @@
 impl Reader {
     /// `room` is what all the bodies of open requests may take, in bytes.
     pub fn new(names: Rc<Names>, classes: Vec<Class>, room: usize) -> Reader {
-        let room = Arc::new(Semaphore::new(room.clamp(BODY_LIMIT, Semaphore::MAX_PERMITS)));
+        let room = Arc::new(Semaphore::new(room.clamp(KEPT, Semaphore::MAX_PERMITS)));
         Reader { names, classes, ids: Ids::default(), room }
     }
 
@@ -126,11 +124,6 @@
     pub async fn read(&self, arrived: Instant, head: Parts, body: Incoming) -> Result<Reading, Own> {
         let wrong = |text| farewell(StatusCode::BAD_REQUEST, text);
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        // Clients tell lengths. Of a request with both framings hyper has taken the length away by now, so
-        // that one cannot be told from one with the other framing alone.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return Err(farewell(StatusCode::LENGTH_REQUIRED, "no transfer codings\n"));
-        }
         let Some(id) = head.headers.get("x-trace-id").filter(|id| !id.is_empty()).cloned() else {
             return Err(wrong("X-Trace-Id is missing\n"));
         };
@@ -138,16 +131,19 @@
         let Some(known) = self.classes.get(class) else {
             return Err(wrong("X-Qos names no class\n"));
         };
+        // Where it is told in chunks, only their end tells the length.
         let length = match head.headers.get(CONTENT_LENGTH) {
+            _ if head.headers.contains_key(TRANSFER_ENCODING) => None,
             None if head.method == Method::GET => Some(0),
             None => return Err(farewell(StatusCode::LENGTH_REQUIRED, "Content-Length is missing\n")),
-            Some(length) => length.to_str().ok().and_then(|l| l.parse().ok()),
+            // hyper has read it: one that is no number has not come so far.
+            Some(length) => length.to_str().ok().and_then(|l| l.parse::<u64>().ok()),
         };
         let keyed = head.headers.contains_key("idempotency-key");
         // The class tells how often the request may run; a method that says otherwise is a mistake, and
         // taking it for either could run something twice.
         let agrees = match known.effect {
-            Effect::Safe => head.method == Method::GET && length == Some(0),
+            Effect::Safe => head.method == Method::GET && length.is_none_or(|l| l == 0),
             Effect::Keyed(_) => head.method == Method::POST && keyed,
             Effect::Unsafe => head.method == Method::POST && !keyed,
         };
@@ -163,19 +159,23 @@
                 None => return Err(wrong("X-Expires-In-Ms is no number of milliseconds\n")),
             },
         };
-        if length.is_none_or(|l: usize| l > BODY_LIMIT) {
-            return Err(farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
+        if length.is_some_and(|l| l > BODY_LIMIT as u64) {
+            return Err(farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
         }
-        let expires = arrived + wait.saturating_sub(LAST_MARGIN);
-        let whole = collect(body, &self.room);
-        let (body, room) = match tokio::time::timeout_at(expires.min(arrived + BODY_TIME).into(), whole)
-            .await
-        {
-            Ok(Ok(whole)) => whole,
-            Ok(Err(Unread::NoRoom)) => return Err(full()),
-            Ok(Err(Unread::Broken)) => return Err(wrong("the body cannot be read\n")),
-            Err(_) => return Err(farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
+        let (body, room) = match self.collect(body, length, arrived).await {
+            Ok(collected) => collected,
+            Err(Unread::NoRoom) => return Err(full()),
+            Err(Unread::Broken) => return Err(wrong("the body cannot be read\n")),
+            Err(Unread::Slow) => {
+                return Err(farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"));
+            }
         };
+        if known.effect == Effect::Safe && !matches!(&body, Asking::Whole(body) if body.is_empty()) {
+            return Err(wrong("a request that is safe to repeat has no body\n"));
+        }
+        // The time counts from the last byte: of a body that passes on, that comes later.
+        let arrived = Instant::now();
+        let expires = arrived + wait.saturating_sub(LAST_MARGIN);
         // Whoever holds back its body holds no id.
         let Some(id) = self.ids.open(id) else {
             return Err(farewell(StatusCode::CONFLICT, "an open request has this X-Trace-Id\n"));
@@ -200,26 +200,42 @@
 enum Unread {
     NoRoom,
     Broken,
+    Slow,
 }
 
-/// A whole body, no longer than its head has said. It takes room as it comes: what is announced and held back
-/// takes none from others.
-async fn collect(
-    mut body: Incoming,
-    room: &Arc<Semaphore>,
-) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Unread> {
-    let mut kept = BytesMut::new();
-    let mut held: Option<OwnedSemaphorePermit> = None;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
-        let more = room.clone().try_acquire_many_owned(data.len() as u32).map_err(|_| Unread::NoRoom)?;
-        match &mut held {
-            Some(held) => held.merge(more),
-            None => held = Some(more),
+impl Reader {
+    /// A whole body, or the first part of one that is too long to be kept. It takes room as it comes: what is
+    /// announced and held back takes none from others.
+    async fn collect(
+        &self,
+        mut body: Incoming,
+        length: Option<u64>,
+        begun: Instant,
+    ) -> Result<(Asking, Option<OwnedSemaphorePermit>), Unread> {
+        let mut kept = BytesMut::new();
+        let mut held: Option<OwnedSemaphorePermit> = None;
+        let (pace, mut moved) = (Pace::new(begun), begun);
+        loop {
+            let due = pace.due(kept.len() as u64, moved);
+            let frame =
+                tokio::time::timeout_at(due.into(), body.frame()).await.map_err(|_| Unread::Slow)?;
+            let Some(frame) = frame else { return Ok((Asking::Whole(kept.freeze()), held)) };
+            // Trailers are for this connection alone.
+            let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
+            moved = Instant::now();
+            let more = self.room.clone().try_acquire_many_owned(data.len() as u32);
+            let more = more.map_err(|_| Unread::NoRoom)?;
+            match &mut held {
+                Some(held) => held.merge(more),
+                None => held = Some(more),
+            }
+            kept.extend_from_slice(&data);
+            let whole = length == Some(kept.len() as u64);
+            if kept.len() > KEPT && !whole {
+                return Ok((Asking::Passing(Upload::new(kept.freeze(), body, length, pace)), held));
+            }
         }
-        kept.extend_from_slice(&data);
     }
-    Ok((kept.freeze(), held))
 }
 
 /// The headers that go on to a backend.
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -4,9 +4,10 @@
 use crate::log;
 use crate::request::{Own, Reader, Reading, farewell, full, plain};
 use crate::socket::{Descriptors, Slot, Socket};
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -24,12 +25,16 @@
 /// A connection that has brought no whole head since it began, or since its last answer, is closed: it is
 /// silent, sends half a request, or does not read its answer.
 const IDLE_LIMIT: Duration = Duration::from_millis(2200);
+/// From its connecting on, for one that has never brought a whole head.
+const STRANGER_LIMIT: Duration = Duration::from_millis(2800);
+/// A client that takes nothing of a long answer for so long is cut. What the system holds for it hides a slow one.
+const TAKING_LIMIT: Duration = Duration::from_secs(10);
 /// One that carries a request just then is looked at again so soon.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// What a client is still sending when its connection ends is read for so long and so far: a socket closed
 /// with unread bytes resets, and takes an answer under way along.
 const LINGER: Duration = Duration::from_millis(500);
-const LINGER_READ: usize = 1024 * 1024;
+const LINGER_READ: usize = 32 * 1024 * 1024;
 /// Part of all descriptors that clients may keep between their requests.
 const KEPT_PART: usize = 4;
 /// A connection this young has its first request under way.
@@ -59,6 +64,12 @@
     stuck_since: Cell<Option<Instant>>,
     /// Its answer is given and only what it still sends is read.
     over: Cell<bool>,
+    /// Requests that told a length.
+    lengths: Cell<u64>,
+    /// A long answer is on its way to it.
+    taking: Cell<bool>,
+    /// How much of that has been written, and since when no more.
+    written: Cell<(u64, Instant)>,
     close: Notify,
 }
 
@@ -103,7 +114,7 @@
 
     /// Nothing on it, and no whole head for too long.
     fn outstayed(&self) -> bool {
-        let due = self.idle_since.get() + IDLE_LIMIT;
+        let due = self.due();
         let begun = self.socket.read() != self.read.get();
         // What waits to be read just then has one more look's time to be.
         let waits = !begun && !self.socket.quiet() && due.elapsed() < LOOK_AGAIN;
@@ -111,6 +122,37 @@
     }
 }
 
+impl Client {
+    /// When it must have brought a whole head: a while after that began, or after its last answer. A stranger that
+    /// asks for nothing must be gone within three seconds, whenever it began to.
+    fn due(&self) -> Instant {
+        let since = self.idle_since.get();
+        match self.socket.begun() {
+            Some(begun) if self.asked.get() => begun + IDLE_LIMIT,
+            Some(begun) => (begun + IDLE_LIMIT).min(since + STRANGER_LIMIT),
+            None => since + IDLE_LIMIT,
+        }
+    }
+
+    /// Takes nothing more of the long answer on its way to it.
+    fn stuck_taking(&self) -> bool {
+        let (written, since) = self.written.get();
+        if !self.taking.get() || written != self.socket.written() {
+            self.written.set((self.socket.written(), Instant::now()));
+            return false;
+        }
+        since.elapsed() > TAKING_LIMIT
+    }
+
+    /// Notes that a request told a length. True if other lines that tell one have come than such requests know
+    /// of: hyper drops the length of a request that is told in chunks too, which may be meant to smuggle one.
+    fn hides_length(&self, request: &Request<Incoming>) -> bool {
+        let told = request.headers().contains_key(CONTENT_LENGTH);
+        self.lengths.set(self.lengths.get() + u64::from(told));
+        request.headers().contains_key(TRANSFER_ENCODING) && self.socket.lengths() > self.lengths.get()
+    }
+}
+
 /// Marks a connection as busy for as long as a request is on it.
 struct Busy(Rc<Client>);
 
@@ -119,6 +161,7 @@
         client.busy.set(true);
         client.asked.set(true);
         client.stuck_since.set(None);
+        client.socket.count_lengths(false);
         Busy(client)
     }
 }
@@ -126,6 +169,9 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.busy.set(false);
+        self.0.taking.set(false);
+        self.0.socket.mark();
+        self.0.socket.count_lengths(true);
         self.0.idle_since.set(Instant::now());
         self.0.read.set(self.0.socket.read());
     }
@@ -323,10 +369,14 @@
             read: Cell::new(0),
             stuck_since: Cell::new(None),
             over: Cell::new(false),
+            lengths: Cell::new(0),
+            taking: Cell::new(false),
+            written: Cell::new((0, Instant::now())),
             close: Notify::new(),
         });
         let number = self.next.get();
         self.next.set(number + 1);
+        client.socket.count_lengths(true);
         self.clients.borrow_mut().insert(number, client.clone());
         let listed = Listed { server: self.clone(), number };
         spawn_local(async move { listed.server.converse(&client, socket).await });
@@ -334,10 +384,15 @@
 
     async fn converse(self: &Rc<Self>, client: &Rc<Client>, socket: Socket) {
         let service = service_fn(|request| {
+            let hides = client.hides_length(&request);
             let busy = Busy::new(client.clone());
             async move {
-                let response = self.respond(request).await;
-                drop(busy);
+                let mut response = match hides {
+                    true => farewell(StatusCode::BAD_REQUEST, "both a length and chunks\n"),
+                    false => self.respond(request).await,
+                };
+                client.taking.set(response.body().passes());
+                response.body_mut().hold(busy);
                 Ok::<_, Infallible>(response)
             }
         });
@@ -348,8 +403,12 @@
         let mut idle = false;
         loop {
             tokio::select! {
-                // Errors are the client's: gone, or not speaking the protocol and told so.
-                _ = connection.as_mut() => break,
+                // Errors are the client's, gone or not speaking the protocol and told so, or of a body that broke
+                // off: then the end of the connection must not look like the body's.
+                end = connection.as_mut() => match end {
+                    Err(e) if e.is_user() => return client.socket.reset(),
+                    _ => break,
+                },
                 () = client.close.notified() => {
                     // Looked at again: a request may have come since.
                     match client.turn().filter(|_| client.may_close()) {
@@ -363,10 +422,10 @@
                     }
                 }
                 () = tokio::time::sleep_until(look_at.into()) => {
-                    if client.outstayed() {
+                    if client.outstayed() || client.stuck_taking() {
                         return;
                     }
-                    look_at = (client.idle_since.get() + IDLE_LIMIT).max(Instant::now() + LOOK_AGAIN);
+                    look_at = client.due().max(Instant::now() + LOOK_AGAIN);
                 }
             }
         }
@@ -423,7 +482,7 @@
 fn answer(answer: Answer) -> Own {
     match answer {
         Answer::Served(reply) => {
-            let mut response = Response::new(Full::new(reply.body));
+            let mut response = Response::new(reply.body);
             if let Some(content_type) = reply.content_type {
                 response.headers_mut().insert(CONTENT_TYPE, content_type);
             }
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -122,9 +122,17 @@
     stream: TcpStream,
     read: Cell<u64>,
     written: Cell<u64>,
+    /// When the first byte was read since the last mark.
+    begun: Cell<Option<Instant>>,
+    /// How far the bytes read last agree with `LENGTH`, and how often all of it has come. None where nobody
+    /// wants to know.
+    lengths: Cell<Option<(usize, u64)>>,
     _slot: Slot,
 }
 
+/// The start of a line that tells a body's length, in small letters.
+const LENGTH: &[u8] = b"\ncontent-length:";
+
 /// A counted socket. Clones are the same socket; it closes with the last of them.
 #[derive(Clone)]
 pub struct Socket(Rc<Inner>);
@@ -134,7 +142,14 @@
     pub fn new(stream: TcpStream, slot: Slot) -> Socket {
         // Without this small answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.set_nodelay(true);
-        Socket(Rc::new(Inner { stream, read: Cell::new(0), written: Cell::new(0), _slot: slot }))
+        Socket(Rc::new(Inner {
+            stream,
+            read: Cell::new(0),
+            written: Cell::new(0),
+            begun: Cell::new(None),
+            lengths: Cell::new(None),
+            _slot: slot,
+        }))
     }
 
     /// Bytes read so far.
@@ -147,6 +162,47 @@
         self.0.written.get()
     }
 
+    /// The next byte that is read begins something.
+    pub fn mark(&self) {
+        self.0.begun.set(None);
+    }
+
+    /// When that began.
+    pub fn begun(&self) -> Option<Instant> {
+        self.0.begun.get()
+    }
+
+    /// Counts from now on the lines that tell a length, or leaves off doing so in a body.
+    pub fn count_lengths(&self, on: bool) {
+        let (_, seen) = self.0.lengths.get().unwrap_or_default();
+        self.0.lengths.set(Some((if on { 0 } else { usize::MAX }, seen)));
+    }
+
+    /// How many such lines have come.
+    pub fn lengths(&self) -> u64 {
+        self.0.lengths.get().map_or(0, |(_, seen)| seen)
+    }
+
+    fn note_read(&self, bytes: &[u8]) {
+        self.0.read.set(self.0.read.get() + bytes.len() as u64);
+        if !bytes.is_empty() && self.0.begun.get().is_none() {
+            self.0.begun.set(Some(Instant::now()));
+        }
+        let Some((mut at, mut seen)) = self.0.lengths.get().filter(|(at, _)| *at < LENGTH.len()) else {
+            return;
+        };
+        for byte in bytes {
+            at = match LENGTH.get(at) {
+                Some(wanted) if *wanted == byte.to_ascii_lowercase() => at + 1,
+                _ => usize::from(*byte == b'\n'),
+            };
+            if at == LENGTH.len() {
+                (at, seen) = (0, seen + 1);
+            }
+        }
+        self.0.lengths.set(Some((at, seen)));
+    }
+
     /// Reads so many bytes, or to the end, without keeping any.
     pub async fn discard(&self, mut most: usize) {
         let mut scrap = [0; 4096];
@@ -160,6 +216,12 @@
         }
     }
 
+    /// Its close will not look like an orderly end.
+    pub fn reset(&self) {
+        // Where the system refuses, the other side still has no whole answer.
+        let _ = socket2::SockRef::from(&self.0.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
@@ -179,7 +241,8 @@
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
                     buf.advance(n);
-                    self.0.read.set(self.0.read.get() + n as u64);
+                    let all = buf.filled();
+                    self.note_read(all.get(all.len() - n..).unwrap_or_default());
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -3,14 +3,16 @@
 use crate::socket::{Descriptors, Slot, Socket};
 use birchspoke::interface::{BackendId, Load, Outcome};
 use birchspoke::wire;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::any::Any;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error as _;
 use std::future::{Future, poll_fn};
@@ -18,14 +20,17 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{Notify, OwnedSemaphorePermit, oneshot};
+use tokio::time::Sleep;
 
+/// Bodies up to this are read whole, and can be sent again; longer ones are passed on as they come.
+pub const KEPT: usize = 64 * 1024;
 /// Bodies hold at most this much, either way.
-pub const BODY_LIMIT: usize = 64 * 1024;
+pub const BODY_LIMIT: usize = 32 * 1024 * 1024;
 /// How long this node will wait, as a backend is told.
 pub const EXPIRES: &str = "x-expires-in-ms";
 const NEVER_RAN: &str = "x-never-ran";
@@ -36,8 +41,12 @@
 /// What comes right behind an answer is no answer to the next request: a connection is used again only once it
 /// has been quiet for so long.
 const SETTLED: Duration = Duration::from_millis(10);
-/// An answer whose head is there is whole so soon, or it never will be.
+/// A short answer of which nothing more comes for so long never will be whole.
+const STALL: Duration = Duration::from_millis(200);
+/// One of unknown length is passed on from then on: it may be a long one.
 const BODY_TIME: Duration = Duration::from_millis(100);
+/// A long body on which nothing moves for so long is given up. Backends stand still for half a second at times.
+const LONG_STALL: Duration = Duration::from_secs(5);
 
 /// What a client asked, to be sent on unchanged.
 pub struct Call {
@@ -48,16 +57,326 @@
     /// The headers that go on.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Asking,
     /// The room that the body takes, given back with it.
     pub _room: Option<OwnedSemaphorePermit>,
 }
 
-/// A whole answer of a backend.
-#[derive(Debug)]
+/// The body of a request.
+pub enum Asking {
+    /// All of it is here, and can be sent again.
+    Whole(Bytes),
+    /// More comes from the client.
+    Passing(Rc<Upload>),
+}
+
+/// A long body on its way from a client to a backend. What is passed on is not kept: past its first part there
+/// is no sending it again.
+pub struct Upload {
+    first: Bytes,
+    rest: RefCell<Incoming>,
+    length: Option<u64>,
+    pace: Pace,
+    /// Bytes that were passed on.
+    passed: Cell<u64>,
+    moved: Cell<Instant>,
+    /// Something went out that is kept nowhere.
+    spent: Cell<bool>,
+    /// The client's side of it ended before the body did.
+    broken: Cell<bool>,
+    whole: Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+/// How slow a body may be.
+#[derive(Clone, Copy)]
+pub struct Pace {
+    begun: Instant,
+}
+
+impl Pace {
+    /// Slower ones are cut; the page of the days has clients at 64 kB a second.
+    const LEAST_PER_S: f64 = 48_000.0;
+    /// Added to the time that this allows, and the longest between two pieces.
+    const GRACE: Duration = Duration::from_secs(2);
+
+    /// From the head on.
+    pub fn new(begun: Instant) -> Pace {
+        Pace { begun }
+    }
+
+    /// When one of which so much has come, the last of it at `moved`, is too slow.
+    pub fn due(&self, bytes: u64, moved: Instant) -> Instant {
+        let earned = Duration::from_secs_f64(bytes as f64 / Pace::LEAST_PER_S);
+        (self.begun + earned).min(moved) + Pace::GRACE
+    }
+}
+
+impl Upload {
+    /// `first` has been read, `rest` comes; `length` is that of all, if told.
+    pub fn new(first: Bytes, rest: Incoming, length: Option<u64>, pace: Pace) -> Rc<Upload> {
+        Rc::new(Upload {
+            first,
+            rest: RefCell::new(rest),
+            length,
+            pace,
+            passed: Cell::new(0),
+            moved: Cell::new(Instant::now()),
+            spent: Cell::new(false),
+            broken: Cell::new(false),
+            whole: Cell::new(None),
+            changed: Notify::new(),
+        })
+    }
+
+    fn note(&self, bytes: usize) {
+        self.passed.set(self.passed.get() + bytes as u64);
+        self.moved.set(Instant::now());
+        if Some(self.passed.get()) == self.length {
+            self.end();
+        }
+    }
+
+    fn end(&self) {
+        self.whole.set(self.whole.get().or_else(|| Some(Instant::now())));
+        self.changed.notify_waiters();
+    }
+
+    /// Waits for the moment at which its last byte went on.
+    async fn whole(&self) -> Instant {
+        loop {
+            if let Some(at) = self.whole.get() {
+                return at;
+            }
+            self.changed.notified().await;
+        }
+    }
+
+    /// Returns when its client is too slow, or its backend takes too little.
+    async fn stalled(&self) {
+        while self.whole.get().is_none() {
+            let due = self.pace.due(self.passed.get(), self.moved.get());
+            if due <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(due.into()).await;
+        }
+        std::future::pending().await
+    }
+}
+
+impl Call {
+    /// Can be sent, for the first time or again.
+    pub fn sendable(&self) -> bool {
+        !matches!(&self.body, Asking::Passing(upload) if upload.spent.get() || upload.broken.get())
+    }
+
+    /// Waits until the whole request has gone on, and says since when; none where it was here from the start.
+    pub async fn whole(&self) -> Option<Instant> {
+        match &self.body {
+            Asking::Whole(_) => None,
+            Asking::Passing(upload) => Some(upload.whole().await),
+        }
+    }
+}
+
+/// A request's body on a connection to a backend.
+pub enum Sending {
+    /// What is left of a whole one.
+    Whole(Option<Bytes>),
+    /// One that passes on, with its first part if that is still to be sent.
+    Passing(Rc<Upload>, Option<Bytes>),
+}
+
+impl Sending {
+    /// Nothing.
+    pub fn empty() -> Sending {
+        Sending::Whole(None)
+    }
+}
+
+/// Why the rest of a body will not come.
+#[derive(Debug, Error)]
+pub enum Cut {
+    /// The side it comes from ended or broke.
+    #[error("the body broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    /// It is too long.
+    #[error("the body is over {BODY_LIMIT} bytes")]
+    TooLong,
+    /// Nothing came for too long.
+    #[error("nothing more of the body came")]
+    Stalled,
+}
+
+impl Body for Sending {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let (upload, first) = match &mut *self {
+            Sending::Whole(bytes) => return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Sending::Passing(upload, first) => (upload, first),
+        };
+        if let Some(first) = first.take() {
+            upload.note(first.len());
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        upload.spent.set(true);
+        loop {
+            let frame = ready!(Pin::new(&mut *upload.rest.borrow_mut()).poll_frame(cx));
+            let cut = match frame {
+                None => {
+                    upload.end();
+                    return Poll::Ready(None);
+                }
+                Some(Err(e)) => Cut::Broken(e),
+                Some(Ok(frame)) => match frame.into_data() {
+                    // Trailers are for this connection alone.
+                    Err(_) => continue,
+                    Ok(data) if upload.passed.get() + data.len() as u64 > BODY_LIMIT as u64 => Cut::TooLong,
+                    Ok(data) => {
+                        upload.note(data.len());
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
+                    }
+                },
+            };
+            upload.broken.set(true);
+            return Poll::Ready(Some(Err(cut)));
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Sending::Whole(bytes) => bytes.is_none(),
+            Sending::Passing(upload, first) => first.is_none() && upload.whole.get().is_some(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Sending::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Sending::Passing(upload, _) => upload.length.map_or_else(SizeHint::new, SizeHint::with_exact),
+        }
+    }
+}
+
+/// The body of an answer that goes on to the client: all of it, or what has come and a backend from which the rest
+/// does.
+pub enum Answering {
+    /// What is left of a whole one.
+    Whole(Option<Bytes>),
+    /// One that passes on.
+    Passing(Box<Download>),
+}
+
+/// A long answer on its way from a backend to a client.
+pub struct Download {
+    first: Option<Bytes>,
+    rest: Incoming,
+    length: Option<u64>,
+    passed: u64,
+    conn: Option<Conn>,
+    stall: Pin<Box<Sleep>>,
+    /// What the client's side keeps for as long as this lasts.
+    held: Option<Box<dyn Any>>,
+    /// Told how it ended; where this is dropped untold, the client has left.
+    end: Option<oneshot::Sender<(Outcome, Option<Conn>)>>,
+}
+
+impl Download {
+    fn end(&mut self, outcome: Outcome) {
+        let conn = self.conn.take().filter(|_| outcome == Outcome::Done);
+        if let Some(end) = self.end.take() {
+            // The node may be about to end.
+            let _ = end.send((outcome, conn));
+        }
+    }
+
+    fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        loop {
+            let mut frame = Pin::new(&mut self.rest).poll_frame(cx);
+            if frame.is_pending() {
+                if let Some(conn) = &mut self.conn {
+                    conn.turn(cx);
+                }
+                frame = Pin::new(&mut self.rest).poll_frame(cx);
+            }
+            return match frame {
+                Poll::Pending => self.stall.as_mut().poll(cx).map(|()| Some(Err(Cut::Stalled))),
+                Poll::Ready(None) => Poll::Ready(None),
+                Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(e.into()))),
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Err(_) => continue,
+                    Ok(data) => Poll::Ready(Some(Ok(data))),
+                },
+            };
+        }
+    }
+}
+
+impl Body for Answering {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let download = match &mut *self {
+            Answering::Whole(bytes) => return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Answering::Passing(download) => download,
+        };
+        let next = match download.first.take() {
+            Some(first) => Some(Ok(first)),
+            None => ready!(download.poll_rest(cx)),
+        };
+        Poll::Ready(match next {
+            Some(Ok(data)) => {
+                download.passed += data.len() as u64;
+                download.stall.as_mut().reset((Instant::now() + LONG_STALL).into());
+                if download.passed > BODY_LIMIT as u64 {
+                    download.end(Outcome::Error);
+                    return Poll::Ready(Some(Err(Cut::TooLong)));
+                }
+                Some(Ok(Frame::data(data)))
+            }
+            Some(Err(cut)) => {
+                download.end(if matches!(cut, Cut::Stalled) { Outcome::TimedOut } else { Outcome::Reset });
+                Some(Err(cut))
+            }
+            None => {
+                if let Some(conn) = &mut download.conn {
+                    // The connection sees that the answer is over and is ready for the next.
+                    conn.turn(cx);
+                }
+                download.end(Outcome::Done);
+                None
+            }
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Answering::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Answering::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Answering::Passing(download) => {
+                download.length.map_or_else(SizeHint::new, |l| SizeHint::with_exact(l - download.passed))
+            }
+        }
+    }
+}
+
+/// A backend's answer.
 pub struct Reply {
     /// Its body.
-    pub body: Bytes,
+    pub body: Answering,
     /// What kind of body that is, if told.
     pub content_type: Option<HeaderValue>,
 }
@@ -72,6 +391,14 @@
     pub load: Load,
 }
 
+/// What becomes of an attempt.
+pub enum End {
+    /// It is over; a connection that may be kept comes back.
+    Over(Finish, Option<Conn>),
+    /// A long answer has begun. Its end is told later, or not at all where the client leaves.
+    Begun(Finish, oneshot::Receiver<(Outcome, Option<Conn>)>),
+}
+
 impl From<Outcome> for Finish {
     fn from(outcome: Outcome) -> Finish {
         Finish { outcome, reply: None, load: Load::default() }
@@ -98,21 +425,21 @@
     }
 }
 
-/// Whether the end of an answer can be told: one length within the limit, or chunks, and not both. One that
-/// ends with its connection may have been cut anywhere.
+/// Whether the end of an answer can be told: a length within the limit, or chunks, or the connection's end, and
+/// not both of the first.
 fn check(headers: &HeaderMap, body: &Incoming, limit: usize) -> Result<(), Failure> {
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    let told = chunked != headers.contains_key(CONTENT_LENGTH) || body.size_hint().exact() == Some(0);
+    let both = headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH);
+    let told = !both || body.size_hint().exact() == Some(0);
     let fits = body.size_hint().lower() <= limit as u64;
     if told && fits { Ok(()) } else { Err(Failure::Spoilt) }
 }
 
-type Driven = Pin<Box<Connection<TokioIo<Socket>, Full<Bytes>>>>;
+type Driven = Pin<Box<Connection<TokioIo<Socket>, Sending>>>;
 
 /// A connection whose reading and writing happen only while somebody exchanges on it: nothing is left
 /// running behind an idle one, and dropping it closes the socket at once.
 pub struct Conn {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Sending>,
     connection: Option<Driven>,
     socket: Socket,
 }
@@ -137,25 +464,83 @@
             if let Poll::Ready(value) = wanted.as_mut().poll(cx) {
                 return Poll::Ready(value);
             }
-            if connection.as_mut().is_some_and(|c| c.as_mut().poll(cx).is_ready()) {
-                *connection = None;
-            }
+            Conn::poll(connection, cx);
             wanted.as_mut().poll(cx)
         })
         .await
     }
 
+    fn poll(connection: &mut Option<Driven>, cx: &mut Context<'_>) {
+        if connection.as_mut().is_some_and(|c| c.as_mut().poll(cx).is_ready()) {
+            *connection = None;
+        }
+    }
+
+    /// Lets the connection read and write what it can. At the end of an answer it sees that it is ready for the
+    /// next, or that more came than belongs to it.
+    fn turn(&mut self, cx: &mut Context<'_>) {
+        Conn::poll(&mut self.connection, cx);
+    }
+
+    /// One request and the head of its answer, which may hold `limit` bytes.
+    async fn ask(
+        &mut self,
+        request: Request<Sending>,
+        limit: usize,
+    ) -> Result<Response<Incoming>, Failure> {
+        let sent = self.sender.send_request(request);
+        let answer = Conn::drive(&mut self.connection, sent).await?;
+        check(answer.headers(), answer.body(), limit)?;
+        Ok(answer)
+    }
+
+    /// One request and its answer: the head, the body as far as it is kept, and the rest if there is one.
+    async fn answer(
+        &mut self,
+        request: Request<Sending>,
+    ) -> Result<(Parts, Bytes, Option<Incoming>), Failure> {
+        let (head, mut body) = self.ask(request, BODY_LIMIT).await?.into_parts();
+        let (first, whole) = self.first_part(&mut body).await?;
+        Ok((head, first, Some(body).filter(|_| !whole)))
+    }
+
+    /// Reads a body to its end, or as far as it is kept and for as long as it is waited for. Says whether that
+    /// was the end.
+    async fn first_part(&mut self, body: &mut Incoming) -> Result<(Bytes, bool), Failure> {
+        let unknown = body.size_hint().exact().is_none();
+        if body.size_hint().lower() > KEPT as u64 {
+            return Ok((Bytes::new(), false));
+        }
+        let begun = Instant::now();
+        let mut kept = BytesMut::new();
+        loop {
+            let frame = Conn::drive(&mut self.connection, body.frame());
+            let frame = tokio::time::timeout(STALL, frame).await.map_err(|_| Failure::Spoilt)?;
+            let Some(frame) = frame else { break };
+            if let Ok(data) = frame?.into_data() {
+                kept.extend_from_slice(&data);
+            }
+            if kept.len() > KEPT || unknown && begun.elapsed() > BODY_TIME {
+                return Ok((kept.freeze(), false));
+            }
+        }
+        poll_fn(|cx| {
+            self.turn(cx);
+            Poll::Ready(())
+        })
+        .await;
+        Ok((kept.freeze(), true))
+    }
+
     /// One request and its whole answer, with a body of `limit` bytes at most, which is there within
     /// `body_time` after the head.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Sending>,
         limit: usize,
         body_time: Duration,
     ) -> Result<Response<Bytes>, Failure> {
-        let sent = self.sender.send_request(request);
-        let (head, body) = Conn::drive(&mut self.connection, sent).await?.into_parts();
-        check(&head.headers, &body, limit)?;
+        let (head, body) = self.ask(request, limit).await?.into_parts();
         let whole = Conn::drive(&mut self.connection, Limited::<Incoming>::new(body, limit).collect());
         let body = match tokio::time::timeout(body_time, whole).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -164,12 +549,8 @@
             }
             Err(_) => return Err(Failure::Spoilt),
         };
-        // One more turn: the connection sees that the answer is over and is ready for the next, or that more
-        // came than belongs to it.
         poll_fn(|cx| {
-            if self.connection.as_mut().is_some_and(|c| c.as_mut().poll(cx).is_ready()) {
-                self.connection = None;
-            }
+            self.turn(cx);
             Poll::Ready(())
         })
         .await;
@@ -259,8 +640,27 @@
     pub address: SocketAddr,
     /// What to send.
     pub call: Rc<Call>,
-    /// When to stop waiting.
+    /// When to stop waiting; where the body passes on, that much later as its end comes after `begun`.
     pub until: Instant,
+    /// When it was decided on.
+    pub begun: Instant,
+}
+
+impl Errand {
+    /// Waits for the end of the time that the attempt has.
+    async fn overdue(&self) {
+        let whole = self.call.whole().await;
+        let late = whole.map_or(Duration::ZERO, |at| at.saturating_duration_since(self.begun));
+        tokio::time::sleep_until((self.until + late).into()).await;
+    }
+
+    /// Waits for the body to come to a standstill; for good where it was here from the start.
+    async fn stalled(&self) {
+        match &self.call.body {
+            Asking::Whole(_) => std::future::pending().await,
+            Asking::Passing(upload) => upload.stalled().await,
+        }
+    }
 }
 
 /// The connections to backends.
@@ -376,45 +776,83 @@
         }
     }
 
-    /// Sends one attempt and waits for its end. `wanted` says whether request and backend still stand.
-    /// A connection that may be kept comes back.
-    pub async fn attempt(&self, errand: &Errand, wanted: impl Fn() -> bool) -> (Finish, Option<Conn>) {
+    /// Sends one attempt and waits for its end, or for a long answer's beginning. `wanted` says whether request and
+    /// backend still stand.
+    pub async fn attempt(&self, errand: &Errand, wanted: impl Fn() -> bool) -> End {
+        let over = |outcome: Outcome| End::Over(outcome.into(), None);
         let (mut conn, age) = match self.connection(errand.backend, errand.address, errand.until).await {
             Ok(found) => found,
-            Err(outcome) => return (outcome.into(), None),
+            Err(outcome) => return over(outcome),
         };
         // The handshake took time: a drain told meanwhile holds for this send too.
         if !wanted() {
-            return (Outcome::NotConnected.into(), None);
+            return over(Outcome::NotConnected);
         }
         let (written, read) = (conn.socket.written(), conn.socket.read());
         let left = errand.until.saturating_duration_since(Instant::now());
         let request = errand.call.request(errand.address, left);
-        let answer = tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT, BODY_TIME)).await;
+        let answer = tokio::select! {
+            answer = conn.answer(request) => Some(answer),
+            () = errand.overdue() => None,
+            () = errand.stalled() => None,
+        };
         // Silence tells nothing of the connection.
-        if let Ok(end) = &answer {
+        if let Some(end) = &answer {
             let broke = matches!(end, Err(Failure::Broken(_))) && conn.socket.read() == read;
             self.ages.borrow_mut().note(age, broke);
         }
-        let outcome = match answer {
-            Ok(Ok(answer)) => return (finish(answer), Some(conn)),
-            // Not one byte of it left this node: it never ran.
-            _ if conn.socket.written() == written => Outcome::NotConnected,
+        let passing = match &errand.call.body {
+            Asking::Passing(upload) if upload.whole.get().is_none() => Some(upload),
+            _ => None,
+        };
+        over(match answer {
+            Some(Ok((head, first, None))) => {
+                return End::Over(finish(&head, Answering::of(first)), Some(conn));
+            }
+            Some(Ok((head, first, Some(rest)))) => return self.begin(conn, &head, first, rest),
+            // A backend takes nothing for run before its last byte: neither the client's fault nor its own.
+            None if passing.is_some() => Outcome::Skipped,
+            _ if passing.is_some_and(|u| u.broken.get()) => Outcome::Skipped,
+            // Not one byte of it left this node, or not the last one: it never ran.
+            _ if conn.socket.written() == written || passing.is_some() => Outcome::NotConnected,
             // What was written may have run. A backend that says anything at all is not silent.
-            Err(_) if conn.socket.read() == read => Outcome::TimedOut,
-            Err(_) | Ok(Err(Failure::Spoilt)) => Outcome::Error,
-            Ok(Err(Failure::Broken(_))) => {
+            None if conn.socket.read() == read => Outcome::TimedOut,
+            None | Some(Err(Failure::Spoilt)) => Outcome::Error,
+            Some(Err(Failure::Broken(_))) => {
                 self.release(errand.backend);
                 Outcome::Reset
             }
+        })
+    }
+
+    /// A long answer: it goes on to the client as it comes.
+    fn begin(&self, conn: Conn, head: &Parts, first: Bytes, rest: Incoming) -> End {
+        if head.status != StatusCode::OK {
+            // Nobody wants the rest of it.
+            return End::Over(finish(head, Answering::Whole(None)), None);
+        }
+        let (end, told) = oneshot::channel();
+        let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
+        let download = Download {
+            first: Some(first).filter(|f| !f.is_empty()),
+            rest,
+            length,
+            passed: 0,
+            conn: Some(conn),
+            stall: Box::pin(tokio::time::sleep(LONG_STALL)),
+            held: None,
+            end: Some(end),
         };
-        (outcome.into(), None)
+        End::Begun(finish(head, Answering::Passing(Box::new(download))), told)
     }
 }
 
 impl Call {
-    fn request(&self, address: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, address: SocketAddr, left: Duration) -> Request<Sending> {
+        let mut request = Request::new(match &self.body {
+            Asking::Whole(body) => Sending::Whole(Some(body.clone()).filter(|b| !b.is_empty())),
+            Asking::Passing(upload) => Sending::Passing(upload.clone(), Some(upload.first.clone())),
+        });
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         *request.headers_mut() = self.headers.clone();
@@ -430,9 +868,27 @@
     }
 }
 
-/// What a backend's whole answer says.
-fn finish(answer: Response<Bytes>) -> Finish {
-    let (head, body) = answer.into_parts();
+impl Answering {
+    /// Keeps `held` until a long answer has ended; drops it at once where there is nothing to wait for.
+    pub fn hold(&mut self, held: impl Any) {
+        if let Answering::Passing(download) = self {
+            download.held = Some(Box::new(held));
+        }
+    }
+
+    /// More of it is to come.
+    pub fn passes(&self) -> bool {
+        matches!(self, Answering::Passing(_))
+    }
+
+    /// A whole body.
+    pub fn of(bytes: Bytes) -> Answering {
+        Answering::Whole(Some(bytes).filter(|b| !b.is_empty()))
+    }
+}
+
+/// What a backend's answer says.
+fn finish(head: &Parts, body: Answering) -> Finish {
     let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
     let load = header(LOAD).map(wire::load_report).unwrap_or_default();
     let unseen = header(NEVER_RAN) == Some("1");
