Count lengths in heads alone, so that chunks that look like heads pass

A trace of how connections ended had them answered after 20,480 bytes of body with 129 bytes: the 400 for a length beside chunks []. Lines of bodies were counted as lines of heads (socket.rs, note_read). Ruled out by the new log line of what is turned away, which stayed empty: bodies too slow, half heads, want of room.

A head now ends at its empty line.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -29,6 +29,8 @@
 const STRANGER_LIMIT: Duration = Duration::from_millis(2800);
 /// A client that takes nothing of a long answer for so long is cut. What the system holds for it hides a slow one.
 const TAKING_LIMIT: Duration = Duration::from_secs(10);
+/// How often what was turned away may be told.
+const AWAY_EVERY: Duration = Duration::from_secs(10);
 /// One that carries a request just then is looked at again so soon.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// What a client is still sending when its connection ends is read for so long and so far: a socket closed
@@ -54,7 +56,8 @@
 /// One client connection.
 struct Client {
     socket: Socket,
-    busy: Cell<bool>,
+    /// Requests on it whose answers have not ended: the next may come before the last is put away.
+    busy: Cell<u32>,
     /// It has brought a whole head.
     asked: Cell<bool>,
     idle_since: Cell<Instant>,
@@ -87,7 +90,7 @@
     fn turn(&self) -> Option<Turn> {
         match self.socket.read() == self.read.get() {
             _ if self.over.get() => Some(Turn::Over),
-            _ if self.busy.get() => None,
+            _ if self.busy.get() > 0 => None,
             _ if !self.asked.get() => Some(Turn::AskedNothing),
             true => Some(Turn::Idle),
             false => Some(Turn::Stuck),
@@ -118,7 +121,7 @@
         let begun = self.socket.read() != self.read.get();
         // What waits to be read just then has one more look's time to be.
         let waits = !begun && !self.socket.quiet() && due.elapsed() < LOOK_AGAIN;
-        !self.busy.get() && due <= Instant::now() && !waits
+        self.busy.get() == 0 && due <= Instant::now() && !waits
     }
 }
 
@@ -158,20 +161,21 @@
 
 impl Busy {
     fn new(client: Rc<Client>) -> Busy {
-        client.busy.set(true);
+        client.busy.set(client.busy.get() + 1);
         client.asked.set(true);
         client.stuck_since.set(None);
-        client.socket.count_lengths(false);
         Busy(client)
     }
 }
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.busy.set(false);
+        self.0.busy.set(self.0.busy.get().saturating_sub(1));
+        if self.0.busy.get() > 0 {
+            return;
+        }
         self.0.taking.set(false);
         self.0.socket.mark();
-        self.0.socket.count_lengths(true);
         self.0.idle_since.set(Instant::now());
         self.0.read.set(self.0.socket.read());
     }
@@ -199,6 +203,9 @@
     buffer: usize,
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    /// What was turned away since that was last told, by the answer's text, and clients cut for being slow.
+    away: RefCell<BTreeMap<&'static str, u32>>,
+    away_told: Cell<Option<Instant>>,
     next: Cell<u64>,
     stopping: Cell<Option<Instant>>,
     succeeded: Cell<bool>,
@@ -224,6 +231,8 @@
             buffer,
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
+            away: RefCell::default(),
+            away_told: Cell::new(None),
             next: Cell::new(0),
             stopping: Cell::new(None),
             succeeded: Cell::new(false),
@@ -363,7 +372,7 @@
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
             socket: socket.clone(),
-            busy: Cell::new(false),
+            busy: Cell::new(0),
             asked: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
@@ -376,7 +385,7 @@
         });
         let number = self.next.get();
         self.next.set(number + 1);
-        client.socket.count_lengths(true);
+        client.socket.mark();
         self.clients.borrow_mut().insert(number, client.clone());
         let listed = Listed { server: self.clone(), number };
         spawn_local(async move { listed.server.converse(&client, socket).await });
@@ -422,7 +431,14 @@
                     }
                 }
                 () = tokio::time::sleep_until(look_at.into()) => {
-                    if client.outstayed() || client.stuck_taking() {
+                    if client.outstayed() {
+                        if client.socket.begun().is_some() {
+                            self.turn_away("half a head");
+                        }
+                        return;
+                    }
+                    if client.stuck_taking() {
+                        self.turn_away("took nothing more");
                         return;
                     }
                     look_at = client.due().max(Instant::now() + LOOK_AGAIN);
@@ -446,7 +462,10 @@
         let mut response = if path == "/api" || path.starts_with("/api/") {
             match self.reader.read(arrived, head, body).await {
                 Ok(reading) => self.ask(reading).await,
-                Err(turned_away) => turned_away,
+                Err(why) => {
+                    self.turn_away(why.text());
+                    why.answer()
+                }
             }
         } else if path != "/up" {
             farewell(StatusCode::NOT_FOUND, "no such path\n")
@@ -461,6 +480,19 @@
         response
     }
 
+    /// Counts what no backend heard of, and says so now and then.
+    fn turn_away(&self, why: &'static str) {
+        *self.away.borrow_mut().entry(why.trim_end()).or_default() += 1;
+        if self.away_told.get().is_none_or(|at| at.elapsed() > AWAY_EVERY) {
+            self.away_told.set(Some(Instant::now()));
+            let told: Vec<String> = std::mem::take(&mut *self.away.borrow_mut())
+                .iter()
+                .map(|(w, n)| format!("{n} {w:?}"))
+                .collect();
+            log::line(&format!("turned away: {}", told.join(", ")));
+        }
+    }
+
     /// More clients stay than there are places for to be kept idle: those that ask now are served and go, so
     /// that the next find a place.
     fn crowded(&self) -> bool {
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -124,14 +124,45 @@
     written: Cell<u64>,
     /// When the first byte was read since the last mark.
     begun: Cell<Option<Instant>>,
-    /// How far the bytes read last agree with `LENGTH`, and how often all of it has come. None where nobody
-    /// wants to know.
-    lengths: Cell<Option<(usize, u64)>>,
+    /// Looked for in the heads that come; none where nobody wants to know.
+    lengths: Cell<Option<Lengths>>,
     _slot: Slot,
 }
 
 /// The start of a line that tells a body's length, in small letters.
-const LENGTH: &[u8] = b"\ncontent-length:";
+const LENGTH: &[u8] = b"content-length:";
+
+/// Counts the lines of heads that tell a length.
+#[derive(Clone, Copy, Default)]
+struct Lengths {
+    seen: u64,
+    /// How much of the line has come that the last byte belongs to, without its end.
+    line: usize,
+    /// All of that agrees with `LENGTH`, as far as that goes.
+    agrees: bool,
+    /// A line with something in it has come: an empty one ends the head.
+    begun: bool,
+    /// What comes is no head.
+    body: bool,
+}
+
+impl Lengths {
+    fn note(&mut self, byte: u8) {
+        match byte {
+            b'\n' if self.line == 0 && self.begun => self.body = true,
+            b'\n' => self.line = 0,
+            b'\r' => {}
+            _ => {
+                self.begun = true;
+                let wanted = LENGTH.get(self.line);
+                self.agrees = (self.line == 0 || self.agrees)
+                    && wanted.is_none_or(|w| *w == byte.to_ascii_lowercase());
+                self.line += 1;
+                self.seen += u64::from(self.agrees && self.line == LENGTH.len());
+            }
+        }
+    }
+}
 
 /// A counted socket. Clones are the same socket; it closes with the last of them.
 #[derive(Clone)]
@@ -162,9 +193,11 @@
         self.0.written.get()
     }
 
-    /// The next byte that is read begins something.
+    /// The next byte that is read begins a head.
     pub fn mark(&self) {
         self.0.begun.set(None);
+        let seen = self.lengths();
+        self.0.lengths.set(Some(Lengths { seen, ..Lengths::default() }));
     }
 
     /// When that began.
@@ -172,15 +205,9 @@
         self.0.begun.get()
     }
 
-    /// Counts from now on the lines that tell a length, or leaves off doing so in a body.
-    pub fn count_lengths(&self, on: bool) {
-        let (_, seen) = self.0.lengths.get().unwrap_or_default();
-        self.0.lengths.set(Some((if on { 0 } else { usize::MAX }, seen)));
-    }
-
-    /// How many such lines have come.
+    /// How many lines of heads have told a length since the first mark.
     pub fn lengths(&self) -> u64 {
-        self.0.lengths.get().map_or(0, |(_, seen)| seen)
+        self.0.lengths.get().map_or(0, |l| l.seen)
     }
 
     fn note_read(&self, bytes: &[u8]) {
@@ -188,19 +215,15 @@
         if !bytes.is_empty() && self.0.begun.get().is_none() {
             self.0.begun.set(Some(Instant::now()));
         }
-        let Some((mut at, mut seen)) = self.0.lengths.get().filter(|(at, _)| *at < LENGTH.len()) else {
-            return;
-        };
-        for byte in bytes {
-            at = match LENGTH.get(at) {
-                Some(wanted) if *wanted == byte.to_ascii_lowercase() => at + 1,
-                _ => usize::from(*byte == b'\n'),
-            };
-            if at == LENGTH.len() {
-                (at, seen) = (0, seen + 1);
+        if let Some(mut lengths) = self.0.lengths.get() {
+            for byte in bytes {
+                if lengths.body {
+                    break;
+                }
+                lengths.note(*byte);
             }
+            self.0.lengths.set(Some(lengths));
         }
-        self.0.lengths.set(Some((at, seen)));
     }
 
     /// Reads so many bytes, or to the end, without keeping any.
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -296,6 +296,14 @@
         }
     }
 
+    fn finish(&mut self, cx: &mut Context<'_>) {
+        if let Some(conn) = &mut self.conn {
+            // The connection sees that the answer is over and is ready for the next.
+            conn.turn(cx);
+        }
+        self.end(Outcome::Done);
+    }
+
     fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
         loop {
             let mut frame = Pin::new(&mut self.rest).poll_frame(cx);
@@ -342,6 +350,10 @@
                     download.end(Outcome::Error);
                     return Poll::Ready(Some(Err(Cut::TooLong)));
                 }
+                if Some(download.passed) == download.length {
+                    // Nobody asks for more than that.
+                    download.finish(cx);
+                }
                 Some(Ok(Frame::data(data)))
             }
             Some(Err(cut)) => {
@@ -349,11 +361,7 @@
                 Some(Err(cut))
             }
             None => {
-                if let Some(conn) = &mut download.conn {
-                    // The connection sees that the answer is over and is ready for the next.
-                    conn.turn(cx);
-                }
-                download.end(Outcome::Done);
+                download.finish(cx);
                 None
             }
         })
--- a/tests/node_large.rs
+++ b/tests/node_large.rs
@@ -94,7 +94,10 @@
             "chunks" => ("Transfer-Encoding: chunked\r\n".to_owned(), in_chunks(&long(LONG), 70_000)),
             _ => ("Connection: close\r\n".to_owned(), long(LONG)),
         };
+        let opened = Arc::new(AtomicUsize::new(0));
+        let count = opened.clone();
         let backend = raw_backend(move |_, mut stream| {
+            count.fetch_add(1, Ordering::SeqCst);
             let mut reader = BufReader::new(stream.try_clone().unwrap());
             while head(&mut reader).is_some() {
                 stream.write_all(format!("HTTP/1.1 200 OK\r\n{headers}\r\n").as_bytes()).unwrap();
@@ -124,7 +127,10 @@
                 [first, rest].concat()
             };
             assert!(body == long(LONG), "{framing}: the body changed on its way");
+            quiet_moment();
         }
+        let connections = if framing == "close" { 2 } else { 1 };
+        assert_eq!(opened.load(Ordering::SeqCst), connections, "{framing}");
     }
 }
 
@@ -248,6 +254,14 @@
             quiet_moment();
         }
     }
+    // Chunks that look like heads of requests, which tell a length of their own.
+    let bait = b"\r\nContent-Length: 5\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 7\r\n\r\n".repeat(20);
+    for _ in 0..3 {
+        let bytes = [post("Transfer-Encoding: chunked\r\n").into_bytes(), in_chunks(&bait, 300)].concat();
+        assert_eq!(client.ask(&bytes).status(), 200);
+        assert!(got.lock().unwrap().pop().expect("a request").1 == bait);
+        quiet_moment();
+    }
     // One that waits to be told to go on, and one that is written byte by byte.
     client.send(post("Expect: 100-continue\r\nContent-Length: 4\r\n").as_bytes());
     assert_eq!(client.answer().unwrap().status(), 100);
@@ -289,7 +303,7 @@
 #[test]
 fn a_short_body_that_is_slow_has_its_time_from_its_end_and_one_that_stops_is_cut() {
     let got = Got::default();
-    let node = start(&[taking(&got)]);
+    let mut node = start(&[taking(&got)]);
     let mut client = Client::connect(node.address);
     client.send(post("Content-Length: 4\r\n").as_bytes());
     thread::sleep(Duration::from_millis(1200));
@@ -303,6 +317,9 @@
         assert_eq!(client.answer().map(|m| m.status()), Some(408), "{headers}");
     }
     assert_eq!(got.lock().unwrap().len(), 1);
+    node.terminate();
+    assert!(node.ended().success());
+    assert!(node.log().contains("turned away: 1 \"the body did not come in time\""));
 }
 
 #[test]
