Let the budget of cold servers flow with time and grow with what they served

The budget was filled up to one request at each tick (balance.rs, on_tick), so a cold server got six requests a second from a node whatever it could bear: budget full, nothing in flight, 5.4 served a second for ten seconds []. Ruled out: caps (not in use []), a larger budget alone (no gain []).

The budget now flows between ticks, and where nodes are few it allows twice what the server served this node within aim in the last second, which proves that much and stays under the multiple of three.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -107,7 +107,7 @@
 }
 
 /// One backend as this node knows it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Backend {
     id: BackendId,
     zone: u16,
@@ -122,8 +122,11 @@
     held_ms: f64,
     /// Start of its cold time, by the list or by its silence.
     cold_since: f64,
-    /// Work that the cold budget still allows, in mean requests.
+    /// Work that the cold budget allowed, in mean requests, and when.
     cold_tokens: f64,
+    cold_at: f64,
+    /// Requests that it served this node within their aim in the last second; older ones fade.
+    served: f64,
     record: Record,
     cap: Cap,
     /// How pressed it is by its reports.
@@ -347,7 +350,6 @@
     full_at: f64,
     /// Requests a second served by a warm backend for this node.
     warm_rate: f64,
-    warm_count: f64,
     ticked: f64,
     ask_failures: u32,
     refused: Refused,
@@ -393,7 +395,6 @@
             pressure: 0.0,
             full_at: FILLING,
             warm_rate: 0.0,
-            warm_count: 0.0,
             ticked: 0.0,
             ask_failures: 0,
             refused: Refused::default(),
@@ -522,19 +523,12 @@
             let index = found.unwrap_or_else(|i| {
                 let fresh = Backend {
                     id: e.backend,
-                    zone: e.zone,
-                    cell: e.cell,
-                    units: 1.0,
-                    listed: false,
-                    up: false,
-                    in_flight: 0,
-                    held_ms: 0.0,
                     cold_since: ready,
                     cold_tokens: self.rng.f64(),
-                    record: Record::default(),
-                    load: Recent::default(),
+                    cold_at: now,
                     faults: vec![Recent::default(); self.s.classes.len()],
                     cap: Cap { limit: first_cap(self.s.instances), ..Cap::default() },
+                    ..Backend::default()
                 };
                 self.backends.insert(i, fresh);
                 i
@@ -564,7 +558,7 @@
     /// A new process is there, and cold: what the old one did says nothing of it.
     fn renew(&mut self, since: f64, index: usize) {
         let b = &mut self.backends[index];
-        (b.cold_since, b.cold_tokens) = (since, self.rng.f64());
+        (b.cold_since, b.cold_tokens, b.served) = (since, self.rng.f64(), 0.0);
         b.record.revive();
     }
 
@@ -615,7 +609,9 @@
             self.backends[i].up = self.backends[i].listed && !self.is_out(self.backends[i].id);
         }
         let far = |b: &Backend| self.s.zone.is_some_and(|z| z != b.zone) && self.s.prices.cross_zone > 0.0;
-        let ramp = |b: &Backend| ramp(&self.s, now - b.cold_since) * if far(b) { FAR } else { 1.0 };
+        let few = if self.many() { 0.0 } else { 1.0 / self.warm_rate.max(1.0) };
+        let part = |b: &Backend| ramp(&self.s, now - b.cold_since).max((few * b.served).min(1.0));
+        let ramp = |b: &Backend| part(b) * if far(b) { FAR } else { 1.0 };
         self.places = (self.backends.iter().enumerate())
             .filter(|(_, b)| b.up)
             .map(|(index, b)| Place { salt: mix(b.id.0), per_weight: 1.0 / (b.units * ramp(b)), index })
@@ -628,20 +624,17 @@
         let seconds = ((now - self.ticked) / 1000.0).max(1e-3);
         self.ticked = now;
         out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
-        let cold = |b: &Backend| now - b.cold_since < self.s.cold_ms;
         // What a warm backend serves for this node: the yardstick of the cold budget.
-        let warm = self.backends.iter().filter(|b| b.up && !b.record.congested && !cold(b)).count();
-        let keep = (-seconds / 5.0_f64).exp();
-        if warm > 0 {
-            let rate = self.warm_count / seconds / warm as f64;
-            self.warm_rate = self.warm_rate * keep + rate * (1.0 - keep);
-        }
-        self.warm_count = 0.0;
+        let warm = |b: &&Backend| b.up && !b.record.congested && now - b.cold_since >= self.s.cold_ms;
+        let (all, served) =
+            self.backends.iter().filter(warm).fold((0.0, 0.0), |(n, s), b| (n + 1.0, s + b.served));
+        self.warm_rate = if all > 0.0 { served / all } else { self.warm_rate };
         for i in 0..self.backends.len() {
-            let rate = self.cold_rate(now, i);
+            let left = self.cold_left(now, i);
             let b = &mut self.backends[i];
-            b.cold_tokens = (b.cold_tokens + rate * seconds).min(1.0);
+            (b.cold_tokens, b.cold_at) = (left, now);
             b.held_ms *= (-seconds * 1000.0 / Recent::MEMORY).exp();
+            b.served *= (-seconds).exp();
         }
         self.keys.fade(seconds);
         self.place(now);
@@ -654,14 +647,22 @@
 
     /// Requests a second that this node may send a cold backend. All nodes together may send
     /// `fall_multiple` times its present capacity; chance is allowed for: the mean plus three
-    /// deviations stay below.
+    /// deviations stay below. Where nodes see enough of it to tell, what it has just served it can do, and twice
+    /// that is within the multiple: it may be far warmer than the slowest ramp has it.
     fn cold_rate(&self, now: f64, index: usize) -> f64 {
         let part = ramp(&self.s, now - self.backends[index].cold_since);
         let seconds = self.s.fall_ms / 1000.0;
         let all = f64::from(self.s.instances.max(1));
         let budget = self.s.fall_multiple * part * self.warm_rate * all * seconds / COLD_KEY_WORK;
         let root = ((18.0 + 4.0 * budget).sqrt() - 18.0_f64.sqrt()) / 2.0;
-        (root * root / seconds / all).min(part * self.warm_rate)
+        let proven = if self.many() { 0.0 } else { PROVEN * self.backends[index].served };
+        (root * root / seconds / all).min(part * self.warm_rate).max(proven)
+    }
+
+    /// What the cold budget still allows at this moment: one request at once, since chance adds to it.
+    fn cold_left(&self, now: f64, index: usize) -> f64 {
+        let b = &self.backends[index];
+        (b.cold_tokens + self.cold_rate(now, index) * (now - b.cold_at) / 1000.0).min(1.0)
     }
 
     fn admission_tick(&mut self, seconds: f64) {
@@ -839,7 +840,7 @@
             }
         };
         let copies_kept = self.s.second_copies || !open.attempts.iter().any(|a| a.out);
-        let cold_kept = now - b.cold_since >= self.s.cold_ms || b.cold_tokens >= 1.0;
+        let cold_kept = now - b.cold_since >= self.s.cold_ms || self.cold_left(now, index) >= 1.0;
         !open.finished
             && now < open.request.deadline_ms
             && (open.attempts.len() as u32) < self.s.max_attempts
@@ -922,7 +923,7 @@
             return;
         };
         let Some(class) = self.open.get(&id).map(|o| o.request.class) else { return };
-        let repeats = self.repeats(class);
+        let (repeats, left) = (self.repeats(class), self.cold_left(now, index));
         let Some(open) = self.open.get_mut(&id) else { return };
         let late = self.s.classes.get(open.request.class).is_some_and(|c| c.late_worth > 0.0);
         let end = if late && self.admission.level > 0.95 { open.request.deadline_ms } else { open.aim_at };
@@ -944,9 +945,7 @@
         self.in_flight += 1;
         let trial = b.record.congested;
         b.record.trial_out |= trial;
-        if now - b.cold_since < self.s.cold_ms {
-            b.cold_tokens -= 1.0;
-        }
+        (b.cold_tokens, b.cold_at) = (left - 1.0, now);
         let (backend, zone, cell) = (b.id, b.zone, b.cell);
         let attempt =
             Attempt { backend, zone, cell, sent: now, timeout, out: true, never_ran: false, trial };
@@ -1096,9 +1095,8 @@
         if self.unconnected > SCARCE {
             if now >= self.scarce_until {
                 out.push(Action::Log("connections are scarce: idle ones are given back".to_owned()));
-                out.extend(
-                    self.backends.iter().filter(|b| b.in_flight == 0).map(|b| Action::Release(b.id)),
-                );
+                let idle = self.backends.iter().filter(|b| b.in_flight == 0);
+                out.extend(idle.map(|b| Action::Release(b.id)));
             }
             self.scarce_until = now + self.s.conn_idle_ms;
         }
@@ -1131,7 +1129,7 @@
             l.answer(elapsed);
         }
         match outcome {
-            Outcome::Done if now - self.backends[i].cold_since >= self.s.cold_ms => self.warm_count += 1.0,
+            Outcome::Done if in_aim => self.backends[i].served += 1.0,
             // What is called off, or garbled on its way, says nothing of load.
             Outcome::Cancelled | Outcome::Skipped | Outcome::Error => return,
             _ => {}
@@ -1273,6 +1271,8 @@
 const PRESSURE_ODDS: f64 = 2.5;
 /// Keys that one with a backend's mean share of the traffic counts as, beyond the first.
 const HOT_KEY_PARTS: f64 = 4.0;
+/// Multiple of what a cold backend served in the last second that it is sent in the next.
+const PROVEN: f64 = 2.0;
 /// Work of a request at a backend that knows no key, over its work at a warm one.
 const COLD_KEY_WORK: f64 = 2.0;
 /// Requests in flight at a backend, of all nodes together, that none is held to be too small for.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Identity of a backend: any number that is the same at every node, such as a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BackendId(pub u64);
 
 /// Identity of one client request (one try of a client).
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -1138,3 +1138,32 @@
     let id = w.ask(0, Some(1));
     assert_eq!(w.at(id), Some(up(1).backend));
 }
+
+// ---- cold backends ----
+
+/// How many of the requests of the last second a cold backend gets: of eight at a time, each `answer_ms` away,
+/// over ten seconds in which it was restarted at the start and answers as fast as the others.
+fn cold_share(asked_per_s: u64) -> (usize, usize) {
+    let mut w = World::with_backends(Settings { instances: 2, ..safe(1).s }, 1, 4);
+    w.warm_up(500, 0, 5.0);
+    let cold = up(1).backend;
+    w.list(ListKind::Changes, vec![Entry { ready_at_ms: w.now, ..up(1) }]);
+    let mut sent = Vec::new();
+    for n in 0..10 * asked_per_s {
+        let id = w.ask(0, Some(n));
+        sent.push(w.at(id) == Some(cold));
+        w.wait(1000.0 / asked_per_s as f64);
+        w.end(id, Outcome::Done);
+    }
+    let per_second: Vec<usize> =
+        sent.chunks(asked_per_s as usize).map(|s| s.iter().filter(|at| **at).count()).collect();
+    (per_second[0], per_second[9])
+}
+
+#[test]
+fn a_cold_backend_that_serves_what_it_is_sent_is_sent_more_and_not_by_the_tick() {
+    let (first, last) = cold_share(200);
+    assert!((1..20).contains(&first), "{first} of 200 in the first second");
+    // Budgets were filled up to one request at each tick: six a second at most, whatever it served.
+    assert!(last > 15, "{last} of 200 in the tenth second");
+}
