Hand over what servers served in the last second, too

A process that takes over began with no yardstick for cold servers: what warm ones serve, and what each cold one has proved, came anew after a second or more, in which cold servers got next to nothing. Both follow from what each server served in the last second, which the state for the successor now holds.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -564,13 +564,12 @@
 
     /// What the next process of this node has to know.
     pub fn memory(&self, now: f64) -> Vec<Memory> {
-        let cold = |b: &Backend| (now - b.cold_since < self.s.cold_ms).then_some(b.cold_since);
-        let prat = |b: &Backend| b.record.congested.then_some(b.record.prat);
         let told = |b: &Backend| Memory {
             backend: b.id,
-            cold_since_ms: cold(b),
-            prat_ms: prat(b),
+            cold_since_ms: Some(b.cold_since).filter(|since| now - since < self.s.cold_ms),
+            prat_ms: Some(b.record.prat).filter(|_| b.record.congested),
             cap: b.cap.limit,
+            served: b.served,
         };
         self.backends.iter().map(told).collect()
     }
@@ -584,6 +583,7 @@
             (b.record.congested, b.record.prat) = (m.prat_ms.is_some(), m.prat_ms.unwrap_or(0.0));
             let cap = Some(m.cap).filter(|cap| cap.is_finite() && *cap > 0.0);
             (b.cap.limit, b.cap.cut_at) = (cap.unwrap_or(b.cap.limit), now);
+            b.served = m.served.max(0.0);
         }
         self.place(now);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -356,6 +356,8 @@
     pub prat_ms: Option<f64>,
     /// The learned cap.
     pub cap: f64,
+    /// What it served within aim in the last second.
+    pub served: f64,
 }
 
 /// What a node learns.
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -90,7 +90,11 @@
     fn to_json(&self) -> Value {
         let id = |b: &BackendId| format!("{:016x}", b.0);
         let backends: Vec<Value> = (self.backends.iter())
-            .map(|m| json!({"id": id(&m.backend), "cold_since_ms": m.cold_since_ms, "prat_ms": m.prat_ms, "cap": m.cap}))
+            .map(|m| {
+                let (cold_since, prat) = (m.cold_since_ms, m.prat_ms);
+                json!({"id": id(&m.backend), "cold_since_ms": cold_since, "prat_ms": prat, "cap": m.cap,
+                       "served": m.served})
+            })
             .collect();
         let out: Vec<String> = self.out.iter().map(id).collect();
         json!({"version": VERSION, "pid": self.pid, "calls": self.calls, "out": out, "backends": backends})
@@ -109,6 +113,7 @@
                 cold_since_ms: time(v.get("cold_since_ms")?)?,
                 prat_ms: time(v.get("prat_ms")?)?,
                 cap: v.get("cap")?.as_f64()?,
+                served: v.get("served")?.as_f64()?,
             })
         };
         if json.get("version")?.as_u64()? != VERSION {
@@ -240,8 +245,20 @@
             calls: 3,
             out: [BackendId(u64::MAX), BackendId(1)].into(),
             backends: vec![
-                Memory { backend: BackendId(1), cold_since_ms: Some(1.5), prat_ms: None, cap: 2.25 },
-                Memory { backend: BackendId(2), cold_since_ms: None, prat_ms: Some(9.0), cap: 0.5 },
+                Memory {
+                    backend: BackendId(1),
+                    cold_since_ms: Some(1.5),
+                    prat_ms: None,
+                    cap: 2.25,
+                    served: 7.5,
+                },
+                Memory {
+                    backend: BackendId(2),
+                    cold_since_ms: None,
+                    prat_ms: Some(9.0),
+                    cap: 0.5,
+                    served: 0.0,
+                },
             ],
         };
         let json = state.to_json();
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -1129,7 +1129,13 @@
 #[test]
 fn what_is_taken_over_of_unknown_backends_or_in_odd_figures_does_no_harm() {
     let mut w = safe(1);
-    let odd = |backend, cap| Memory { backend, cold_since_ms: Some(f64::NAN), prat_ms: None, cap };
+    let odd = |backend, cap| Memory {
+        backend,
+        cold_since_ms: Some(f64::NAN),
+        prat_ms: None,
+        cap,
+        served: f64::NAN,
+    };
     w.feed(Event::Inherit(vec![
         odd(BackendId(77), 1.0),
         odd(up(1).backend, f64::NAN),
