--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -52,6 +52,8 @@
 /// A drained node leaves so much time to requests that are on their way on connections it has answered on.
 const LEAVE: Duration = Duration::from_millis(1000);
 const LEAVE_TURN: Duration = Duration::from_millis(100);
+/// A head that has not come so long before the end of the process is not waited for.
+const LAST_HEADS: Duration = Duration::from_millis(400);
 
 /// One client connection.
 struct Client {
@@ -97,9 +99,14 @@
         }
     }
 
+    /// Some of a request has come, and is not read as one yet.
+    fn begun(&self) -> bool {
+        self.socket.read() != self.read.get()
+    }
+
     /// May be closed now, asking the system too. Who has just connected is about to ask.
     fn may_close(&self) -> bool {
-        let begun = self.socket.read() != self.read.get();
+        let begun = self.begun();
         match self.turn() {
             None => false,
             Some(Turn::Over) => true,
@@ -118,7 +125,7 @@
     /// Nothing on it, and no whole head for too long.
     fn outstayed(&self) -> bool {
         let due = self.due();
-        let begun = self.socket.read() != self.read.get();
+        let begun = self.begun();
         // What waits to be read just then has one more look's time to be.
         let waits = !begun && !self.socket.quiet() && due.elapsed() < LOOK_AGAIN;
         self.busy.get() == 0 && due <= Instant::now() && !waits
@@ -268,8 +275,9 @@
         }
     }
 
-    fn close_idle(&self) {
-        for client in self.clients.borrow().values().filter(|c| c.may_close()) {
+    /// Closes what carries nothing; with `all` also what has begun a head and does not go on with it.
+    fn close_idle(&self, all: bool) {
+        for client in self.clients.borrow().values().filter(|c| c.may_close() && (all || !c.begun())) {
             client.close.notify_one();
         }
     }
@@ -316,7 +324,8 @@
     /// left, or at `end`.
     pub async fn wind_down(self: &Rc<Self>, end: Instant) {
         while Instant::now() < end && !self.clients.borrow().is_empty() {
-            self.close_idle();
+            // Who is slow with a head may still bring it in time to be answered.
+            self.close_idle(end.saturating_duration_since(Instant::now()) < LAST_HEADS);
             let _ = tokio::time::timeout(Duration::from_millis(20), self.closed.notified()).await;
         }
     }
@@ -352,7 +361,7 @@
         spawn_local(async move {
             tokio::time::sleep(LEAVE).await;
             while server.drained.get() == Some(since) {
-                server.close_idle();
+                server.close_idle(false);
                 tokio::time::sleep(LEAVE_TURN).await;
             }
         });
--- a/tests/node_console.rs
+++ b/tests/node_console.rs
@@ -203,3 +203,36 @@
     assert_eq!((node.up(), node.call("ready").as_str()), (503, "error takes no clients\n"));
     assert_eq!(ask(node.address, &request("page", 4000)).status(), 503, "refused, not held");
 }
+
+#[test]
+fn who_is_slow_with_a_head_is_still_answered_by_a_node_that_is_leaving() {
+    let (mut node, record) = start(1);
+    let bytes = request("page", 4000);
+    let halves: Vec<_> = bytes.chunks(bytes.len() / 2 + 1).collect();
+    let begin = |node: &Node, asked: bool| {
+        let mut client = Client::connect(node.address);
+        if asked {
+            assert_eq!(client.ask(&request("page", 4000)).status(), 200);
+        }
+        client.send(halves[0]);
+        client
+    };
+    let end = |mut client: Client, what: &str| {
+        // Longer than idle connections are left open.
+        std::thread::sleep(Duration::from_millis(1500));
+        client.send(halves[1]);
+        let answer = client.answer().expect(what);
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")), "{what}");
+    };
+    for asked in [false, true] {
+        let client = begin(&node, asked);
+        assert!(node.call("drain").starts_with("done "));
+        end(client, "drained");
+        assert!(node.call("resume").starts_with("done "));
+    }
+    let client = begin(&node, true);
+    node.terminate();
+    end(client, "told to stop");
+    assert!(node.ended().success());
+    assert_eq!(record.count(), 5);
+}
