--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -29,6 +29,7 @@
 const STRANGER_LIMIT: Duration = Duration::from_millis(2800);
 /// A client that takes nothing of a long answer for so long is cut. What the system holds for it hides a slow one.
 const TAKING_LIMIT: Duration = Duration::from_secs(10);
+const BOTH_FRAMINGS: &str = "both a length and chunks\n";
 /// How often what was turned away may be told.
 const AWAY_EVERY: Duration = Duration::from_secs(10);
 /// One that carries a request just then is looked at again so soon.
@@ -405,9 +406,11 @@
             let hides = client.hides_length(&request);
             let busy = Busy::new(client.clone());
             async move {
-                let mut response = match hides {
-                    true => farewell(StatusCode::BAD_REQUEST, "both a length and chunks\n"),
-                    false => self.respond(request).await,
+                let mut response = if hides {
+                    self.turn_away(BOTH_FRAMINGS);
+                    farewell(StatusCode::BAD_REQUEST, BOTH_FRAMINGS)
+                } else {
+                    self.respond(request).await
                 };
                 client.taking.set(response.body().passes());
                 response.body_mut().hold(busy);
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -68,6 +68,23 @@
     assert!(node.running());
 }
 
+#[test]
+fn the_log_says_why_requests_are_turned_away() {
+    let discovery = Discovery::start(Vec::new());
+    for (lines, why) in [
+        ("X-Qos: bid\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n", "both a length and chunks"),
+        ("X-Qos: other\r\nContent-Length: 0\r\n", "X-Qos names no class"),
+    ] {
+        let mut node = Node::launch(discovery.address, |_| {}, "exec \"$0\"");
+        wait_for("it listens", || node.up() == 503);
+        let text = format!("POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: 1\r\n{lines}\r\n0\r\n\r\n");
+        assert_eq!(attempt(node.address, text.as_bytes()).map(|m| m.status()), Some(400));
+        node.terminate();
+        assert!(node.ended().success());
+        assert!(node.log().contains(&format!("turned away: 1 {why:?}")), "{why}");
+    }
+}
+
 #[test]
 fn what_is_turned_away_is_read_first_so_that_the_answer_arrives() {
     let record = Record::default();
