--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -374,9 +374,9 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Answering::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
-            Answering::Passing(download) => {
-                download.length.map_or_else(SizeHint::new, |l| SizeHint::with_exact(l - download.passed))
-            }
+            Answering::Passing(download) => download
+                .length
+                .map_or_else(SizeHint::new, |l| SizeHint::with_exact(l.saturating_sub(download.passed))),
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use birchspoke::Balancer;
 use birchspoke::interface::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time past the client's deadline in which an answer still counts, as the users' bench has it.
 const ANSWER_SLACK_MS: f64 = 20.0;
@@ -83,6 +83,8 @@
     pub attempts: Vec<Sent>,
     /// "done", "refused", "failed" or "left".
     pub answer: Option<&'static str>,
+    /// From when on its times count.
+    pub whole_at: f64,
 }
 
 pub struct World {
@@ -96,6 +98,8 @@
     pub watches: Vec<f64>,
     /// Last release of the idle connections to a backend.
     pub released: BTreeMap<BackendId, f64>,
+    /// Backends that are out of service by a call.
+    pub out: BTreeSet<BackendId>,
     pub trace: Vec<Action>,
     next: u64,
 }
@@ -113,6 +117,7 @@
             logs: Vec::new(),
             watches: Vec::new(),
             released: BTreeMap::new(),
+            out: BTreeSet::new(),
             trace: Vec::new(),
             next: 0,
         };
@@ -145,6 +150,7 @@
                 assert!(asked.attempts.len() < self.s.max_attempts as usize, "more attempts than allowed");
                 let entry = self.list.get(backend).expect("a backend that the list has named");
                 assert_eq!(entry.health, Health::Up, "rule 3: sent to one that drains or is gone");
+                assert!(!self.out.contains(backend), "rule 3: sent to one that is out of service");
                 let out = asked.attempts.iter().any(|a| a.outcome.is_none());
                 assert!(self.s.second_copies || !out, "rule 2: two attempts at once");
                 let ran = asked.attempts.iter().find(|a| !proven(a.outcome));
@@ -213,6 +219,16 @@
         self.feed(Event::List { kind, entries });
     }
 
+    /// Takes a backend out of service, or puts it back.
+    pub fn call(&mut self, backend: BackendId, out: bool) {
+        if out {
+            self.out.insert(backend);
+        } else {
+            self.out.remove(&backend);
+        }
+        self.feed(if out { Event::Disable(backend) } else { Event::Enable(backend) });
+    }
+
     pub fn ask(&mut self, class: usize, key: Option<u64>) -> RequestId {
         let deadline = self.s.classes.get(class).map_or(500.0, |c| c.deadline_ms);
         self.ask_with(class, key, deadline)
@@ -226,7 +242,7 @@
         self.next += 1;
         let id = RequestId(self.next);
         let request = Request { id, class, key, deadline_ms: self.now + given, effort_ms: None, retry };
-        self.asked.insert(id, Asked { request, attempts: Vec::new(), answer: None });
+        self.asked.insert(id, Asked { request, attempts: Vec::new(), answer: None, whole_at: self.now });
         self.feed(Event::Request(request));
         id
     }
@@ -259,6 +275,29 @@
         self.feed(Event::Ended { id, attempt: n as u32, backend, outcome, last, elapsed_ms, load });
     }
 
+    /// The answer to the attempt that is out begins: the request is served, its end is told later.
+    pub fn begin(&mut self, id: RequestId) {
+        let now = self.now;
+        let Some(asked) = self.asked.get_mut(&id).filter(|a| a.answer.is_none()) else { return };
+        let Some(n) = asked.attempts.iter().position(|a| a.outcome.is_none()) else { return };
+        asked.answer = Some("done");
+        let (backend, elapsed_ms) = (asked.attempts[n].backend, now - asked.attempts[n].at);
+        self.feed(Event::Started { id, attempt: n as u32, backend, elapsed_ms });
+    }
+
+    /// The last byte of a request's body has come: its times count from here.
+    pub fn whole(&mut self, id: RequestId) {
+        let now = self.now;
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        let late = now - asked.whole_at;
+        asked.whole_at = now;
+        asked.request.deadline_ms += late;
+        for a in &mut asked.attempts {
+            (a.at, a.ends) = (a.at + late, a.ends + late);
+        }
+        self.feed(Event::Whole(id));
+    }
+
     pub fn left(&mut self, id: RequestId) {
         if let Some(a) = self.asked.get_mut(&id) {
             a.answer.get_or_insert("left");
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -13,6 +13,9 @@
     Leave(usize),
     Wait(f64),
     List(ListKind, Vec<(u64, Health, bool)>),
+    Call(usize, bool),
+    Begin(usize),
+    Whole(usize),
     Stray(u64),
 }
 
@@ -44,6 +47,9 @@
         3 => (0.0..400.0).prop_map(Step::Wait),
         1 => (kind, proptest::collection::vec((1_u64..12, health, any::<bool>()), 0..8))
             .prop_map(|(k, e)| Step::List(k, e)),
+        1 => (any::<usize>(), any::<bool>()).prop_map(|(n, out)| Step::Call(n, out)),
+        1 => any::<usize>().prop_map(Step::Begin),
+        1 => any::<usize>().prop_map(Step::Whole),
         1 => any::<u64>().prop_map(Step::Stray),
     ]
 }
@@ -87,6 +93,24 @@
                     .collect();
                 w.list(*kind, entries);
             }
+            Step::Call(n, out) => {
+                let listed: Vec<_> = w.list.keys().copied().collect();
+                if let Some(backend) = listed.get(n % listed.len().max(1)) {
+                    w.call(*backend, *out);
+                }
+            }
+            Step::Begin(n) => {
+                if let Some(id) = nth(*n) {
+                    w.begin(id);
+                }
+            }
+            Step::Whole(n) => {
+                let owed: Vec<_> =
+                    w.asked.iter().filter(|(_, a)| a.answer.is_none()).map(|(id, _)| *id).collect();
+                if let Some(id) = owed.get(n % owed.len().max(1)) {
+                    w.whole(*id);
+                }
+            }
             Step::Stray(n) => {
                 // Events for what this node does not know are ignored.
                 w.feed(Event::Timer(n.wrapping_add(100)));
