--- a/src/balance.rs
+++ b/src/balance.rs
@@ -647,8 +647,8 @@
 
     /// Requests a second that this node may send a cold backend. All nodes together may send
     /// `fall_multiple` times its present capacity; chance is allowed for: the mean plus three
-    /// deviations stay below. Where nodes see enough of it to tell, what it has just served it can do, and twice
-    /// that is within the multiple: it may be far warmer than the slowest ramp has it.
+    /// deviations stay below. Where nodes see enough of it to tell, what it has just served it can do, and
+    /// twice that is within the multiple: it may be far warmer than the slowest ramp has it.
     fn cold_rate(&self, now: f64, index: usize) -> f64 {
         let part = ramp(&self.s, now - self.backends[index].cold_since);
         let seconds = self.s.fall_ms / 1000.0;
