Hand over the list's version, and ask discovery at once where it is newer

A process started beside another begins with the list of its configuration; where the old one knew a newer version, the first call to discovery no longer waits for its turn among many nodes. Not taken: handing over the list itself, which the first answer brings anyway.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -9,6 +9,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde_json::Value;
+use std::cell::Cell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -129,7 +130,9 @@
     /// The version of the list that the node has at its start, if it has one: the first call then asks for what
     /// changed since. A whole list costs the one service of all nodes a line for each backend, and after an
     /// outage all nodes start at once.
-    pub rev: Option<u64>,
+    pub version: Rc<Cell<Option<u64>>>,
+    /// The process before this one knew a newer list: asked for at once, whatever the decisions' pace.
+    pub behind: bool,
 }
 
 impl Watch {
@@ -138,8 +141,8 @@
         let mut address = self.address.clone();
         let mut at = *address.borrow();
         let mut conn = None;
-        let mut rev = self.rev;
-        let mut wanted = self.mode == Discovery::Pushed;
+        let mut rev = self.version.get();
+        let mut wanted = self.mode == Discovery::Pushed || self.behind;
         let mut failed = 0_u32;
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
@@ -173,6 +176,7 @@
                     // A version below ours is another count: only the whole list says what holds.
                     let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
                     rev = if lost { None } else { Some(listing.rev) };
+                    self.version.set(rev);
                     if failed > 0 {
                         log::line(&format!("discovery: answers again after {failed} failed calls"));
                         failed = 0;
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -83,6 +83,8 @@
     /// How many calls have changed who is out of service.
     calls: u64,
     out: BTreeSet<BackendId>,
+    /// The version of discovery's list that it had.
+    list: Option<u64>,
     backends: Vec<Memory>,
 }
 
@@ -97,7 +99,8 @@
             })
             .collect();
         let out: Vec<String> = self.out.iter().map(id).collect();
-        json!({"version": VERSION, "pid": self.pid, "calls": self.calls, "out": out, "backends": backends})
+        json!({"version": VERSION, "pid": self.pid, "calls": self.calls, "out": out, "list": self.list,
+               "backends": backends})
     }
 
     /// None where any part is missing or not of its kind: half a state is none.
@@ -123,6 +126,10 @@
             pid: json.get("pid")?.as_u64()?.try_into().ok()?,
             calls: json.get("calls")?.as_u64()?,
             out: json.get("out")?.as_array()?.iter().map(id).collect::<Option<_>>()?,
+            list: match json.get("list")? {
+                Value::Null => None,
+                version => Some(version.as_u64()?),
+            },
             backends: json.get("backends")?.as_array()?.iter().map(memory).collect::<Option<_>>()?,
         })
     }
@@ -134,12 +141,15 @@
     pid: u32,
     /// The last call that this process knows of.
     calls: Cell<u64>,
+    /// The version of the list that this process has.
+    list: Rc<Cell<Option<u64>>>,
 }
 
 impl Handover {
     /// In the folder for temporary files, which all processes of the node have in common.
-    pub fn new() -> Rc<Handover> {
-        Rc::new(Handover { folder: std::env::temp_dir(), pid: std::process::id(), calls: Cell::new(0) })
+    pub fn new(list: Rc<Cell<Option<u64>>>) -> Rc<Handover> {
+        let (folder, pid) = (std::env::temp_dir(), std::process::id());
+        Rc::new(Handover { folder, pid, calls: Cell::new(0), list })
     }
 
     /// None where there is no file yet.
@@ -169,17 +179,22 @@
     }
 
     fn of(&self, driver: &Driver) -> State {
-        State { pid: self.pid, calls: self.calls.get(), out: driver.out(), backends: driver.memory() }
+        let (calls, list) = (self.calls.get(), self.list.get());
+        State { pid: self.pid, calls, out: driver.out(), list, backends: driver.memory() }
     }
 
-    /// Takes over what the process before this one left, and declares this one the serving one.
-    pub fn take_over(&self, driver: &Rc<Driver>) {
+    /// Takes over what the process before this one left, and declares this one the serving one. True if that
+    /// process knew a newer list than the one given here.
+    pub fn take_over(&self, driver: &Rc<Driver>) -> bool {
+        let mut behind = false;
         match self.read() {
             Ok(Some(state)) => {
-                let State { pid, calls, out, backends } = state;
+                let State { pid, calls, out, list, backends } = state;
+                behind = list > self.list.get();
                 let (servers, banned) = (backends.len(), out.len());
+                let older = if behind { ", a newer list than the one given here" } else { "" };
                 log::line(&format!(
-                    "handover: from process {pid}: {servers} servers, {banned} out of service"
+                    "handover: from process {pid}: {servers} servers, {banned} out of service{older}"
                 ));
                 self.calls.set(calls);
                 driver.take(Input::Inherit(backends));
@@ -189,6 +204,7 @@
             Err(e) => log::line(&format!("handover: state cannot be used, starts without: {e}")),
         }
         self.write(&self.of(driver));
+        behind
     }
 
     /// Tells the other process, if there is one, of a call that changed who is out of service.
@@ -244,6 +260,7 @@
             pid: 7,
             calls: 3,
             out: [BackendId(u64::MAX), BackendId(1)].into(),
+            list: Some(41),
             backends: vec![
                 Memory {
                     backend: BackendId(1),
@@ -264,7 +281,7 @@
         let json = state.to_json();
         assert_eq!(State::from_json(&json), Some(state));
         let fields: Vec<String> = json.as_object().map(|o| o.keys().cloned().collect()).unwrap_or_default();
-        assert_eq!(fields.len(), 5);
+        assert_eq!(fields.len(), 6);
         for field in fields {
             let mut less = json.clone();
             less.as_object_mut().map(|o| o.remove(&field));
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -24,6 +24,7 @@
 use crate::upstream::Upstream;
 use birchspoke::Balancer;
 use birchspoke::interface::ListKind;
+use std::cell::Cell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -78,7 +79,8 @@
     let hangup = signal(SignalKind::hangup())?;
     let config = Config::load().map_err(|e| format!("configuration: {e}"))?;
     // Where the platform holds the listening socket, another process may serve beside this one.
-    let handover = inherited.is_some().then(Handover::new);
+    let version = Rc::new(Cell::new(None));
+    let handover = inherited.is_some().then(|| Handover::new(version.clone()));
     let shared = handover.is_some();
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener),
@@ -112,10 +114,11 @@
     let names = Rc::new(config.names);
     driver.take(Input::Start);
     let known = discovery::listing(&config.known, &names);
-    let rev = known.as_ref().and_then(Listing::version);
+    version.set(known.as_ref().and_then(Listing::version));
     driver.take(Input::List(ListKind::Saved, known.map_or_else(Vec::new, |known| known.targets)));
+    let mut behind = false;
     if let Some(handover) = &handover {
-        handover.take_over(&driver);
+        behind = handover.take_over(&driver);
         spawn_local(handover.clone().keep(driver.clone()));
     }
     let (told, address) = watch::channel(config.discovery);
@@ -125,7 +128,8 @@
         names: names.clone(),
         descriptors: descriptors.clone(),
         wishes,
-        rev,
+        version,
+        behind,
     };
     spawn_local(watch.run(driver.clone()));
     spawn_local(reload(hangup, told));
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -169,3 +169,33 @@
     assert!(log.contains("a successor takes new connections"), "{log}");
     let _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn a_process_whose_list_is_older_than_that_of_the_one_before_asks_at_once() {
+    let (_, discovery) = three_backends();
+    let socket = TcpListener::bind(free_address()).unwrap();
+    let folder = folder("list");
+    let asked = |c: &mut Value| {
+        with_console(c);
+        c["settings"]["membershipMode"] = "on_request".into();
+        // So many that the first call would come after a quarter of an hour by itself.
+        c["settings"]["instances"] = 50_000.into();
+        c["settings"]["rules"]["mustAskInMs"] = 1e7.into();
+        let target = target("s-0", free_address(), "up");
+        c["known"] = serde_json::json!({"rev": 3, "all": true, "targets": [target]});
+    };
+    let state = r#"{"version":1,"pid":1,"calls":0,"out":[],"list":LIST,"backends":[]}"#;
+    for (list, behind) in [("3", false), ("null", false), ("4", true)] {
+        std::fs::write(folder.join("node-state.json"), state.replace("LIST", list)).unwrap();
+        let calls = discovery.calls();
+        let mut node = Node::inherit(discovery.address, &socket, &folder, asked);
+        wait_for("it listens", || node.up() == 200);
+        if behind {
+            wait_for("discovery is asked", || discovery.calls() > calls);
+        }
+        node.terminate();
+        assert!(node.ended().success());
+        assert_eq!(node.log().contains("a newer list than the one given here"), behind, "{list}");
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
