One of many nodes guesses the share of a key it has not counted yet

To blame: KeyCounts::share held one meeting for none, so that for ten seconds after each start hundreds of nodes sent each hot key to the same two servers. Few nodes decide as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -181,6 +181,8 @@
     const MEMORY: f64 = 15_000.0;
     /// Requests without which a share is not to be had.
     const EVIDENCE: f64 = 20.0;
+    /// The guess of one of many nodes, in requests of those: most requests are for keys asked for often.
+    const UNTOLD: f64 = 0.8;
 
     fn new() -> KeyCounts {
         KeyCounts { rows: [vec![0.0; KeyCounts::SLOTS], vec![0.0; KeyCounts::SLOTS]], total: 0.0 }
@@ -203,11 +205,11 @@
         self.total *= keep;
     }
 
-    /// Part of the traffic that is for this key. One meeting says nothing.
-    fn share(&self, key: u64) -> f64 {
+    /// Part of the traffic that is for this key. One meeting says nothing beyond the `guess`.
+    fn share(&self, key: u64, guess: f64) -> f64 {
         let [a, b] = KeyCounts::slots(key);
         let seen = self.rows[0][a].min(self.rows[1][b]);
-        f64::from(seen - 1.0).max(0.0) / self.total.max(KeyCounts::EVIDENCE)
+        (f64::from(seen - 1.0).max(0.0) + guess) / self.total.max(KeyCounts::EVIDENCE)
     }
 }
 
@@ -747,7 +749,8 @@
         // cannot see that they do not.
         let key = open.request.key.map_or_else(|| self.rng.u64(..), mix);
         let sparse = (1.0 - 2.0 * f64::from(self.in_flight) / self.places.len().max(1) as f64).max(0.0);
-        let parts = 1.0 + sparse * HOT_KEY_PARTS * self.keys.share(key) * self.places.len() as f64;
+        let share = self.keys.share(key, if self.many() { KeyCounts::UNTOLD } else { 0.0 });
+        let parts = 1.0 + sparse * HOT_KEY_PARTS * share * self.places.len() as f64;
         let key = if parts < 2.0 { key } else { mix(key ^ self.rng.u64(..parts as u64)) };
         let rank = |p: &Place| {
             let u = (mix(key ^ p.salt) >> 11) as f64 / (1_u64 << 53) as f64;
@@ -765,18 +768,16 @@
         }
         let usable = |i: usize| i != usize::MAX && self.usable(now, open, i);
         let [first, second] = [best[0].1, best[1].1];
-        let keyed = match (usable(first), usable(second)) {
+        match (usable(first), usable(second)) {
             (true, true) if self.second_is_freer(now, first, second, draw) => Some(second),
             (true, _) => Some(first),
             (false, true) => Some(second),
-            (false, false) => None,
-        };
-        if keyed.is_some() {
-            return keyed;
+            (false, false) => {
+                let free = self.places.iter().filter(|p| usable(p.index));
+                let ranked = free.map(|p| (self.backends[p.index].in_flight, rank(p), p.index));
+                ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., index)| index)
+            }
         }
-        let free = self.places.iter().filter(|p| usable(p.index));
-        let ranked = free.map(|p| (self.backends[p.index].in_flight, rank(p), p.index));
-        ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., index)| index)
     }
 
     /// A class fails at this backend far more often than at large: its keys have their candidates among the
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -4,6 +4,7 @@
 use birchspoke::Balancer;
 use birchspoke::interface::*;
 use common::{World, class, settings, up};
+use std::collections::BTreeSet;
 
 /// A world in which every request is safe, on `count` backends.
 fn safe(count: u64) -> World {
@@ -760,10 +761,25 @@
     backend
 }
 
+#[test]
+fn many_nodes_that_have_counted_nothing_do_not_send_a_key_to_two_backends() {
+    // What each of a fleet's nodes does with its first request, all of them for one key.
+    let homes = |instances: u32| -> BTreeSet<_> {
+        let first = |seed| {
+            let mut w = World::with_backends(Settings { instances, ..settings() }, seed, 40);
+            let id = w.ask(0, Some(5));
+            w.at(id)
+        };
+        (1..=100).map(first).collect()
+    };
+    assert!(homes(4).len() <= 2, "few nodes meet it often: {:?}", homes(4));
+    assert!(homes(100).len() >= 6, "{:?}", homes(100));
+}
+
 #[test]
 fn a_hot_key_is_spread_and_an_ordinary_one_is_not() {
     let mut w = sparse(40);
-    let mut homes = [std::collections::BTreeSet::new(), std::collections::BTreeSet::new()];
+    let mut homes = [BTreeSet::new(), BTreeSet::new()];
     for n in 0..400 {
         // Every fourth request is for key 1; key 2 comes once in forty.
         let key = if n % 4 == 0 {
