Test: look for a free address without listening on it

Seen: a_node_with_nobody_to_send_to_is_not_ready failed once in 16 runs, "connection reset" on its first call. To blame: free_address listened to find a port. A child that another test has forked holds a copy of that socket until its program runs; it took the test's first connection, and reset the call when it went. Ruled out: the console (a call that was accepted is answered), a port taken twice (each address is used once).

--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -38,12 +39,18 @@
 }
 
 /// An address of this process's own with a port that nothing listens on.
+///
+/// It is bound to be found and never listens: a child that another test starts holds a copy of each socket until
+/// its program runs, and a copy that listened would take connections, and keep the node from listening there.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
     let pid = std::process::id();
     let ip = Ipv4Addr::new(127, 64 + (pid % 64) as u8, (pid / 64 % 256) as u8, (n % 250 + 1) as u8);
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&SocketAddr::from((ip, 0)).into()).unwrap();
+    socket.local_addr().unwrap().as_socket().unwrap()
 }
 
 /// One HTTP message as it came.
