Have the system hold little of a long answer, so that a slow taker is not cut

Seen: a client that takes 24 MB at 64 kB a second is cut after 12.3 s with "took nothing more" (two plays by hand). To blame: Client::stuck_taking goes by what could be written, and the system holds up to 4 MB unsent, and takes more only when a third has gone. Ruled out: the backend's side (all there; at 300 kB a second it passes), the client's own buffer (any). Fix: TCP_NOTSENT_LOWAT of 128 KiB from the start of a long answer on; short answers are untouched. Option not taken: a longer limit; one that takes nothing would hold its place, and 32 MB would still hide a slow one. Test: 13 s at that pace, then the rest, byte for byte; without the change it breaks off.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -27,7 +27,8 @@
 const IDLE_LIMIT: Duration = Duration::from_millis(2200);
 /// From its connecting on, for one that has never brought a whole head.
 const STRANGER_LIMIT: Duration = Duration::from_millis(2800);
-/// A client that takes nothing of a long answer for so long is cut. What the system holds for it hides a slow one.
+/// A client that takes nothing of a long answer for so long is cut. What the system holds for it hides a slow one
+/// for a few seconds.
 const TAKING_LIMIT: Duration = Duration::from_secs(10);
 const BOTH_FRAMINGS: &str = "both a length and chunks\n";
 /// How often what was turned away may be told.
@@ -413,6 +414,9 @@
                     self.respond(request).await
                 };
                 client.taking.set(response.body().passes());
+                if response.body().passes() {
+                    client.socket.hold_little();
+                }
                 response.body_mut().hold(busy);
                 Ok::<_, Infallible>(response)
             }
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -14,6 +14,10 @@
 /// UDP, discovery, the configuration read again, and a connection just accepted.
 const UNCOUNTED: usize = 24;
 
+/// What the system may hold unsent of a long answer, in bytes: a client at the slowest pace allowed takes as much
+/// in two seconds.
+const HELD_UNSENT: u32 = 128 * 1024;
+
 /// Closes something idle. True: a descriptor was freed at once; false: none was, or it will be soon.
 type Reclaim = Box<dyn Fn() -> bool>;
 
@@ -239,6 +243,13 @@
         }
     }
 
+    /// Has the system hold little of what is written: however slow the other side takes it, that shows in what
+    /// can still be written. Otherwise megabytes wait there, and nothing moves here for many seconds.
+    pub fn hold_little(&self) {
+        // Where the system refuses, a slow client is told from one that takes nothing less well.
+        let _ = socket2::SockRef::from(&self.0.stream).set_tcp_notsent_lowat(HELD_UNSENT);
+    }
+
     /// Its close will not look like an orderly end.
     pub fn reset(&self) {
         // Where the system refuses, the other side still has no whole answer.
--- a/tests/node_large.rs
+++ b/tests/node_large.rs
@@ -2,6 +2,7 @@
 mod node;
 
 use node::*;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -196,6 +197,38 @@
     wait_for("and their descriptors", || node.descriptors() < 24);
 }
 
+#[test]
+fn who_takes_a_long_answer_at_the_slowest_pace_allowed_keeps_it() {
+    let body = long(LONG);
+    let backend = raw_backend(move |_, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        if head(&mut reader).is_some() {
+            let _ =
+                stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n").as_bytes());
+            let _ = stream.write_all(&body);
+        }
+    });
+    let node = start(&[backend]);
+    // A client that the system, too, reads little ahead for: 64 kB a second, for longer than one that takes
+    // nothing at all is left alone.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.connect(&node.address.into()).unwrap();
+    let mut client = TcpStream::from(socket);
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    client.write_all(&request("page", 4000)).unwrap();
+    let mut reader = BufReader::with_capacity(1024, client);
+    assert!(head(&mut reader).expect("a head").starts_with("http/1.1 200"));
+    let mut taken = vec![0; 13 * 64_000];
+    for piece in taken.chunks_mut(6_400) {
+        reader.read_exact(piece).unwrap();
+        thread::sleep(Duration::from_millis(100));
+    }
+    let mut rest = vec![0; LONG - taken.len()];
+    reader.read_exact(&mut rest).expect("the rest of the answer");
+    assert!([taken, rest].concat() == long(LONG), "the body changed on its way");
+}
+
 /// What a backend got: heads and bodies.
 type Got = Arc<Mutex<Vec<(String, Vec<u8>)>>>;
 
