Part caps and cold budget between two processes of one node

To blame: on_inherit takes both over whole, and the old process keeps both. Design: each process is told when another serves beside it (the file names it, and it runs) and halves what it has; the budget goes by what is served and finds its level in a second, caps are given back when one is alone. The module makes room by one name for what is out and one list loop less.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -323,9 +323,13 @@
     attempts: Vec<Attempt>,
 }
 
-/// The decisions of one node. Feed it events, carry out its actions.
-///
-/// See the crate's page for an example.
+impl Open {
+    fn is_out(&self) -> bool {
+        self.attempts.iter().any(|a| a.out)
+    }
+}
+
+/// The decisions of one node: feed it events, carry out its actions. The crate's page has an example.
 #[derive(Debug)]
 pub struct Balancer {
     s: Settings,
@@ -427,6 +431,7 @@
             }
             Event::Enable(id) => self.on_enable(now, id),
             Event::Inherit(memory) => self.on_inherit(now, &memory),
+            Event::Beside(two) => self.on_beside(two),
             Event::Whole(id) => self.on_whole(now, id),
             Event::Started { id, attempt, elapsed_ms, .. } => {
                 self.on_ended(now, id, attempt, (Outcome::Done, true, elapsed_ms), &Load::default(), out);
@@ -512,11 +517,8 @@
             let wait = if entries.is_empty() { 0.0 } else { self.call_span() * self.rng.f64() };
             out.push(Action::Timer { token: ASK, at_ms: now + wait });
         }
-        if matches!(kind, ListKind::Full | ListKind::Saved) {
-            for b in &mut self.backends {
-                b.listed = false;
-            }
-        }
+        // What a whole list does not name is not there.
+        self.backends.iter_mut().for_each(|b| b.listed &= kind == ListKind::Changes);
         for e in entries {
             let back = self.out.get(&e.backend).copied().filter(|until| until.is_finite());
             let told = Some(e.ready_at_ms).filter(|at| at.is_finite() && *at > 0.0);
@@ -590,15 +592,21 @@
         self.place(now);
     }
 
+    /// Each of two processes has half of what one was found to have, and learns on from there. What is served
+    /// shows within a second where it goes; a cap is given back when one is alone again.
+    fn on_beside(&mut self, two: bool) {
+        let (part, seen) = if two { (0.5, 0.5) } else { (2.0, 1.0) };
+        self.warm_rate *= seen;
+        for b in &mut self.backends {
+            (b.cap.limit, b.served) = (b.cap.limit * part, b.served * seen);
+        }
+    }
+
     /// Who is out of service by a call of the operators.
     pub fn out(&self) -> impl Iterator<Item = BackendId> {
         self.out.iter().filter(|(_, until)| until.is_infinite()).map(|(id, _)| *id)
     }
 
-    fn is_out(&self, id: BackendId) -> bool {
-        self.out.get(&id).is_some_and(|until| until.is_infinite())
-    }
-
     /// May be sent to, as far as the list and the operators go.
     pub fn in_service(&self, id: BackendId) -> bool {
         self.find(id).is_some_and(|i| self.backends[i].up)
@@ -607,8 +615,8 @@
     /// Notes who is in service, and rebuilds the table that keyed candidates are looked up in.
     fn place(&mut self, now: f64) {
         self.out.retain(|_, until| now - *until < self.s.cold_ms);
-        for i in 0..self.backends.len() {
-            self.backends[i].up = self.backends[i].listed && !self.is_out(self.backends[i].id);
+        for b in &mut self.backends {
+            b.up = b.listed && !self.out.get(&b.id).is_some_and(|until| until.is_infinite());
         }
         let far = |b: &Backend| self.s.zone.is_some_and(|z| z != b.zone) && self.s.prices.cross_zone > 0.0;
         let few = if self.many() { 0.0 } else { 1.0 / self.warm_rate.max(1.0) };
@@ -840,7 +848,7 @@
                 same && now < a.sent + class.map_or(0.0, |c: &Class| c.key_ttl_ms)
             }
         };
-        let copies_kept = self.s.second_copies || !open.attempts.iter().any(|a| a.out);
+        let copies_kept = self.s.second_copies || !open.is_out();
         let cold_kept = now - b.cold_since >= self.s.cold_ms || self.cold_left(now, index) >= 1.0;
         !open.finished
             && now < open.request.deadline_ms
@@ -956,11 +964,7 @@
 
     /// The gate of every refusal: refused where that promise holds, failed where it does not.
     fn answer(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        if open.finished || open.attempts.iter().any(|a| a.out) {
-            return;
-        }
-        open.finished = true;
+        let Some(open) = self.open.get(&id).filter(|o| !o.finished && !o.is_out()) else { return };
         let effect = self.s.classes.get(open.request.class).map_or(Effect::Unsafe, |c| c.effect);
         let none_ran = open.attempts.iter().all(|a| a.never_ran);
         let harmless = none_ran || matches!(effect, Effect::Safe | Effect::Keyed(Group::All));
@@ -1003,7 +1007,7 @@
                 out.push(Action::Cancel { id, attempt: n as u32 });
             }
         }
-        if open.attempts.iter().all(|a| !a.out) {
+        if !open.is_out() {
             self.open.remove(&id);
         }
     }
@@ -1063,10 +1067,7 @@
         if let Some(l) = self.learned.get_mut(class).filter(|_| in_aim) {
             l.served += 1.0;
         }
-        let Some(open) = self.open.get(&id) else { return };
-        if open.attempts.iter().any(|a| a.out) {
-            return;
-        }
+        let Some(open) = self.open.get(&id).filter(|o| !o.is_out()) else { return };
         if open.finished {
             self.open.remove(&id);
             return;
@@ -1186,10 +1187,9 @@
             b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
         }
         self.fleet_failing += 0.02 * (f64::from(u8::from(failed)) - self.fleet_failing);
-        if !matches!(outcome, Outcome::Done) && !failed {
-            return;
+        if failed || outcome == Outcome::Done {
+            b.record.note(now, window, failed);
         }
-        b.record.note(now, window, failed);
         if !failed {
             return;
         }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -143,13 +143,15 @@
     calls: Cell<u64>,
     /// The version of the list that this process has.
     list: Rc<Cell<Option<u64>>>,
+    /// The process that serves beside this one.
+    beside: Cell<Option<u32>>,
 }
 
 impl Handover {
     /// In the folder for temporary files, which all processes of the node have in common.
     pub fn new(list: Rc<Cell<Option<u64>>>) -> Rc<Handover> {
         let (folder, pid) = (std::env::temp_dir(), std::process::id());
-        Rc::new(Handover { folder, pid, calls: Cell::new(0), list })
+        Rc::new(Handover { folder, pid, calls: Cell::new(0), list, beside: Cell::new(None) })
     }
 
     /// None where there is no file yet.
@@ -199,6 +201,7 @@
                 self.calls.set(calls);
                 driver.take(Input::Inherit(backends));
                 out.into_iter().for_each(|id| driver.take(Input::Disable(id)));
+                self.meet(pid, driver);
             }
             Ok(None) => log::line("handover: no state, starts without"),
             Err(e) => log::line(&format!("handover: state cannot be used, starts without: {e}")),
@@ -229,6 +232,24 @@
         pid != self.pid && std::fs::exists(format!("/proc/{pid}")).unwrap_or(false)
     }
 
+    /// Tells the decisions when another process begins to serve beside this one, and when it has gone. `pid` is
+    /// the one that the file names.
+    fn meet(&self, pid: u32, driver: &Rc<Driver>) {
+        match self.beside.get() {
+            None if self.is_other(pid) => {
+                log::line(&format!("handover: process {pid} serves beside this one"));
+                self.beside.set(Some(pid));
+                driver.take(Input::Beside(true));
+            }
+            Some(other) if !self.is_other(other) => {
+                log::line(&format!("handover: process {other} has gone"));
+                self.beside.set(None);
+                driver.take(Input::Beside(false));
+            }
+            _ => {}
+        }
+    }
+
     /// Keeps the file and this process in step for as long as the process lives.
     pub async fn keep(self: Rc<Self>, driver: Rc<Driver>) {
         let mut turns = tokio::time::interval(TURN);
@@ -236,6 +257,7 @@
         for turn in 0_u32.. {
             turns.tick().await;
             let there = self.read().ok().flatten();
+            self.meet(there.as_ref().map_or(self.pid, |state| state.pid), &driver);
             if let Some(state) = there.as_ref().filter(|s| s.calls > self.calls.get()) {
                 self.calls.set(state.calls);
                 let known = driver.out();
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -1183,6 +1183,59 @@
     assert_eq!(w.at(id), Some(up(1).backend));
 }
 
+/// Eight requests at a time, each 5 ms away; how many of them a backend got.
+fn play(w: &mut World, rounds: u64, at: BackendId) -> usize {
+    let mut got = 0;
+    for n in 0..rounds {
+        let ids: Vec<_> = (0..8).map(|k| w.ask(0, Some(8 * n + k))).collect();
+        got += ids.iter().filter(|id| w.at(**id) == Some(at)).count();
+        w.wait(5.0);
+        ids.into_iter().for_each(|id| w.end(id, Outcome::Done));
+    }
+    got
+}
+
+/// How many requests are under way before one is refused.
+fn room(w: &mut World) -> usize {
+    (0..1000)
+        .take_while(|n| {
+            let id = w.ask(0, Some(*n));
+            w.at(id).is_some()
+        })
+        .count()
+}
+
+#[test]
+fn two_processes_of_a_node_have_together_what_one_had() {
+    let cold = up(1).backend;
+    // Caps that have grown well past the first, and a backend that has just been restarted.
+    let grown = || {
+        let mut w = World::with_backends(Settings { instances: 2, ..safe(1).s }, 1, 4);
+        play(&mut w, 200, cold);
+        w.list(ListKind::Changes, vec![Entry { ready_at_ms: w.now, ..up(1) }]);
+        w
+    };
+    let split = || {
+        let mut old = grown();
+        let mut new = World::new(old.s.clone(), 2);
+        new.now = old.now;
+        new.list(ListKind::Saved, old.list.values().copied().collect());
+        new.feed(Event::Inherit(old.balancer.memory(old.now)));
+        old.feed(Event::Beside(true));
+        new.feed(Event::Beside(true));
+        [old, new]
+    };
+    let one = (play(&mut grown(), 40, cold), room(&mut grown()));
+    let colds = split().map(|mut w| play(&mut w, 40, cold));
+    let rooms = split().map(|mut w| room(&mut w));
+    let told = format!("to the cold one and under way: one process {one:?}, two {colds:?} and {rooms:?}");
+    assert!(one.0 > 6 && one.1 > 12, "{told}");
+    let [both_cold, both_room] = [colds, rooms].map(|both| both.iter().sum::<usize>());
+    // Where each had what one had, that would be twice as much.
+    assert!((one.0 / 2..=one.0 * 3 / 2).contains(&both_cold), "{told}");
+    assert!((one.1 / 2..=one.1 * 3 / 2).contains(&both_room), "{told}");
+}
+
 // ---- cold backends ----
 
 /// How many of the requests of the last second a cold backend gets: of eight at a time, each `answer_ms` away,
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -394,6 +394,11 @@
         Node { address, child, file, config }
     }
 
+    /// Its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Where operators call, as it was told.
     pub fn console(&self) -> SocketAddr {
         self.config["console"].as_str().unwrap().parse().unwrap()
