Declare the new process again where the old one wrote over it

Seen in the code while parting what two processes have: the old process reads the file, the new one declares itself in it, the old one writes its own state. Then the new one saw another process that runs, and never wrote again; the old one never knew of its successor, kept taking new connections once told to stop, and parted nothing. To blame: Handover::keep took any other process in the file for a successor. Fix: not the one it took over from. Ruled out: a lock on the file, which a killed process would leave. Test: the file names the old process once more; the new one declares itself again (in vain without the change).

--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -143,6 +143,8 @@
     calls: Cell<u64>,
     /// The version of the list that this process has.
     list: Rc<Cell<Option<u64>>>,
+    /// The process that this one took over from.
+    before: Cell<Option<u32>>,
     /// The process that serves beside this one.
     beside: Cell<Option<u32>>,
 }
@@ -151,7 +153,8 @@
     /// In the folder for temporary files, which all processes of the node have in common.
     pub fn new(list: Rc<Cell<Option<u64>>>) -> Rc<Handover> {
         let (folder, pid) = (std::env::temp_dir(), std::process::id());
-        Rc::new(Handover { folder, pid, calls: Cell::new(0), list, beside: Cell::new(None) })
+        let (calls, before, beside) = (Cell::new(0), Cell::new(None), Cell::new(None));
+        Rc::new(Handover { folder, pid, calls, list, before, beside })
     }
 
     /// None where there is no file yet.
@@ -201,6 +204,7 @@
                 self.calls.set(calls);
                 driver.take(Input::Inherit(backends));
                 out.into_iter().for_each(|id| driver.take(Input::Disable(id)));
+                self.before.set(Some(pid));
                 self.meet(pid, driver);
             }
             Ok(None) => log::line("handover: no state, starts without"),
@@ -224,7 +228,13 @@
 
     /// Another process has taken over and runs.
     pub fn succeeded(&self) -> bool {
-        self.read().ok().flatten().is_some_and(|there| self.is_other(there.pid))
+        self.read().ok().flatten().is_some_and(|there| self.is_successor(there.pid))
+    }
+
+    /// That is another process that runs, and not the one before this: where that has written its state just as this
+    /// one declared itself, the file names it once more.
+    fn is_successor(&self, pid: u32) -> bool {
+        self.is_other(pid) && self.before.get() != Some(pid)
     }
 
     /// That is another process, and it runs.
@@ -265,7 +275,7 @@
                 known.difference(&state.out).for_each(|id| driver.take(Input::Enable(*id)));
                 log::line(&format!("handover: call {}: {} out of service", state.calls, state.out.len()));
             }
-            if turn % WRITE_EVERY == 0 && !there.is_some_and(|s| self.is_other(s.pid)) {
+            if turn % WRITE_EVERY == 0 && !there.is_some_and(|s| self.is_successor(s.pid)) {
                 self.write(&self.of(&driver));
             }
         }
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -160,6 +160,16 @@
     assert_eq!(kept.ask(&request("page", 4000)).status(), 200);
     let mut new = Node::inherit(discovery.address, &socket, &folder, with_console);
     wait_for("the new process is ready", || call_if(&new, "ready").starts_with("done"));
+    // The old one may have written its state just as the new one declared itself.
+    let state = folder.join("node-state.json");
+    let told = |pid: u32| format!("\"pid\":{pid},");
+    let named = |pid| std::fs::read_to_string(&state).is_ok_and(|s| s.contains(&told(pid)));
+    wait_for("the new process declares itself", || named(new.pid()));
+    let text = std::fs::read_to_string(&state).unwrap();
+    let draft = folder.join("draft");
+    std::fs::write(&draft, text.replace(&told(new.pid()), &told(old.pid()))).unwrap();
+    std::fs::rename(draft, &state).unwrap();
+    wait_for("the new process declares itself again", || named(new.pid()));
     // Once the old one knows of a call to the new one it has seen who serves beside it.
     assert!(new.call("disable-server s-0").starts_with("done"));
     wait_for("the old process knows", || {
