Leave the old process its caps, and start the new one at the first cap

To blame: Balancer::on_beside; the old process has nearly all clients until it is told to stop, and half of its caps refused them. Fix: only the cold budget is parted; of the caps the new process takes over those below the first one, and learns what is left beside the old one.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -431,7 +431,7 @@
             }
             Event::Enable(id) => self.on_enable(now, id),
             Event::Inherit(memory) => self.on_inherit(now, &memory),
-            Event::Beside(two) => self.on_beside(two),
+            Event::Beside => self.on_beside(),
             Event::Whole(id) => self.on_whole(now, id),
             Event::Started { id, attempt, elapsed_ms, .. } => {
                 self.on_ended(now, id, attempt, (Outcome::Done, true, elapsed_ms), &Load::default(), out);
@@ -585,21 +585,20 @@
             let b = &mut self.backends[i];
             b.cold_since = m.cold_since_ms.map_or(b.cold_since, |since| since.max(b.cold_since));
             (b.record.congested, b.record.prat) = (m.prat_ms.is_some(), m.prat_ms.unwrap_or(0.0));
-            let cap = Some(m.cap).filter(|cap| cap.is_finite() && *cap > 0.0);
-            (b.cap.limit, b.cap.cut_at) = (cap.unwrap_or(b.cap.limit), now);
+            // The old process may still fill a large one: what is left beside it is soon learned.
+            if m.cap > 0.0 && m.cap < b.cap.limit {
+                (b.cap.limit, b.cap.cut_at) = (m.cap, now);
+            }
             b.served = m.served.max(0.0);
         }
         self.place(now);
     }
 
-    /// Each of two processes has half of what one was found to have, and learns on from there. What is served
-    /// shows within a second where it goes; a cap is given back when one is alone again.
-    fn on_beside(&mut self, two: bool) {
-        let (part, seen) = if two { (0.5, 0.5) } else { (2.0, 1.0) };
-        self.warm_rate *= seen;
-        for b in &mut self.backends {
-            (b.cap.limit, b.served) = (b.cap.limit * part, b.served * seen);
-        }
+    /// Each of two processes has half of what one was seen to be served, by which the cold budget goes; within a
+    /// second it shows who serves how much.
+    fn on_beside(&mut self) {
+        self.warm_rate /= 2.0;
+        self.backends.iter_mut().for_each(|b| b.served /= 2.0);
     }
 
     /// Who is out of service by a call of the operators.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -425,9 +425,9 @@
     Enable(BackendId),
     /// What the process before this one knew. Comes once, after the saved list.
     Inherit(Vec<Memory>),
-    /// Another process of this node serves beside this one from now on, or no more: the two are one node to all
-    /// others. Comes to both, and to the new one after what it inherits.
-    Beside(bool),
+    /// From now on another process of this node serves beside this one: the two are one node to all others. Comes
+    /// to both, and to the new one after what it inherits.
+    Beside,
     /// A message from another node.
     Message {
         /// Its number.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -159,8 +159,8 @@
     Enable(BackendId),
     /// What the process before this one knew.
     Inherit(Vec<Memory>),
-    /// Another process of this node serves beside this one from now on, or no more.
-    Beside(bool),
+    /// Another process of this node serves beside this one from now on.
+    Beside,
     /// Another node's message.
     Message(u32, Vec<u8>),
 }
@@ -481,7 +481,7 @@
             Input::Disable(id) => Event::Disable(id),
             Input::Enable(id) => Event::Enable(id),
             Input::Inherit(memory) => Event::Inherit(memory),
-            Input::Beside(two) => Event::Beside(two),
+            Input::Beside => Event::Beside,
             Input::Message(from, bytes) => Event::Message { from, bytes },
         })
     }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -242,19 +242,18 @@
         pid != self.pid && std::fs::exists(format!("/proc/{pid}")).unwrap_or(false)
     }
 
-    /// Tells the decisions when another process begins to serve beside this one, and when it has gone. `pid` is
-    /// the one that the file names.
+    /// Tells the decisions when another process begins to serve beside this one, and the log when it has gone, too.
+    /// `pid` is the one that the file names.
     fn meet(&self, pid: u32, driver: &Rc<Driver>) {
         match self.beside.get() {
             None if self.is_other(pid) => {
                 log::line(&format!("handover: process {pid} serves beside this one"));
                 self.beside.set(Some(pid));
-                driver.take(Input::Beside(true));
+                driver.take(Input::Beside);
             }
             Some(other) if !self.is_other(other) => {
                 log::line(&format!("handover: process {other} has gone"));
                 self.beside.set(None);
-                driver.take(Input::Beside(false));
             }
             _ => {}
         }
