--- a/src/balance.rs
+++ b/src/balance.rs
@@ -594,8 +594,8 @@
         self.place(now);
     }
 
-    /// Each of two processes has half of what one was seen to be served, by which the cold budget goes; within a
-    /// second it shows who serves how much.
+    /// Each of two processes has half of what one was seen to be served, by which the cold budget goes;
+    /// within a second it shows who serves how much.
     fn on_beside(&mut self) {
         self.warm_rate /= 2.0;
         self.backends.iter_mut().for_each(|b| b.served /= 2.0);
