Make a silent watch anew long before the news that it misses counts as told

To blame: the wait, SLACK and the pace after a failure in src/node/discovery.rs, which add up to more than the 2 s and the grace.

Ruled out: sends decided before the news (the list was late), retries and the last resort (it was a first try), the slack alone (six calls in turn take 2 s).

Change: a watch asks for 60 s, the most the protocol allows, and is made anew at 15 to 20 s, the old one given up once the new connection is up. A call that gets no answer is made again at once, once. Agents get half a second beyond their wait. Not taken: shorter waits (the margin stays 2 s, each call costs the one service) and two watches at a time (twice the calls).

Both tests fail without it.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -3,7 +3,7 @@
 use crate::driver::{Driver, Input, Target};
 use crate::log;
 use crate::socket::Descriptors;
-use crate::upstream::{Conn, Sending};
+use crate::upstream::{Conn, Failure, Sending};
 use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use birchspoke::wire::{Names, stable_hash};
 use hyper::header::HOST;
@@ -15,13 +15,27 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
+use tokio::time::error::Elapsed;
 
 /// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
 /// agent that has fallen silent.
-const PUSHED_WAIT_MS: u64 = 2_000;
-const ASKED_WAIT_MS: u64 = 20_000;
-/// What an answer may take beyond that.
-const SLACK: Duration = Duration::from_millis(1_500);
+const PUSHED_WAIT: Duration = Duration::from_secs(2);
+/// Where it is asked, as long as the protocol allows: news that a silent watch misses counts as told 2 s after its
+/// wait, and from silence alone nobody can tell that there is none.
+const ASKED_WAIT: Duration = Duration::from_secs(60);
+/// So a watch is made anew at this age, at the latest, news or not. Two in a row may fall silent or fail before
+/// anything counts as told, and the one service of all nodes has no more calls than one in 20 s from each.
+const RENEWED: Duration = Duration::from_secs(20);
+/// Part of that by which nodes differ, so that news to all of them does not have all of them call at once later.
+const SPREAD: f64 = 0.25;
+/// What an answer may take beyond the wait, at the first try; more from one failed call to the next, up to
+/// `MOST_PATIENCE` times. A call waits its turn at the one service of all nodes, and not at an agent.
+const PUSHED_ANSWER: Duration = Duration::from_millis(500);
+const ASKED_ANSWER: Duration = Duration::from_millis(2_200);
+const MOST_PATIENCE: u32 = 3;
+/// Discovery that does not take a connection by then is not there; an agent is near, and what it has counts at once.
+const PUSHED_CONNECT: Duration = Duration::from_millis(100);
+const ASKED_CONNECT: Duration = Duration::from_millis(1_000);
 /// What is read of it at a time.
 const LIST_BUFFER: usize = 64 * 1024;
 /// The whole list may be a great deal larger than a request.
@@ -48,14 +62,15 @@
     }
 
     /// Says in the log what it brought, if anything.
-    fn tell(&self) {
+    fn tell(&self, age: Duration) {
         let count = |h: Health| self.targets.iter().filter(|t| t.entry.health == h).count();
         let (up, draining, gone) = (count(Health::Up), count(Health::Draining), count(Health::Gone));
         if !self.targets.is_empty() {
             let what = if self.all { "whole list" } else { "changes" };
             log::line(&format!(
-                "discovery: {what}, version {}: {up} up, {draining} draining, {gone} gone",
-                self.rev
+                "discovery: {what}, version {}: {up} up, {draining} draining, {gone} gone, {:.1} s after the call",
+                self.rev,
+                age.as_secs_f64()
             ));
         }
     }
@@ -133,6 +148,8 @@
     pub version: Rc<Cell<Option<u64>>>,
     /// The process before this one knew a newer list: asked for at once, whatever the decisions' pace.
     pub behind: bool,
+    /// For the ages at which watches are made anew.
+    pub rng: fastrand::Rng,
 }
 
 impl Watch {
@@ -144,6 +161,8 @@
         let mut rev = self.version.get();
         let mut wanted = self.mode == Discovery::Pushed || self.behind;
         let mut failed = 0_u32;
+        // Since the last answer a call without one was made again at once.
+        let mut repeated = false;
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
                 wanted = wish;
@@ -164,26 +183,33 @@
                 continue;
             }
             let begun = Instant::now();
+            let age = RENEWED.mul_f64(1.0 - SPREAD * self.rng.f64());
             // A call to where discovery was is given up: its answer would be that of another list.
             let answered = tokio::select! {
-                answered = self.call(at, &mut conn, rev) => answered,
+                answered = self.call(at, &mut conn, rev, age, failed) => answered,
                 Ok(()) = address.changed() => continue,
             };
             match answered {
-                Ok(listing) => {
+                Ok(answer) => {
+                    repeated = false;
+                    if failed > 0 {
+                        log::line(&format!("discovery: answers again after {failed} failed calls"));
+                        failed = 0;
+                    }
+                    // A watch that was held for so long did not fail. If it is silent, the next one tells.
+                    let Some(listing) = answer else {
+                        driver.take(Input::List(ListKind::Changes, Vec::new()));
+                        continue;
+                    };
                     // A watch that did not wait and brought nothing must not make this loop spin.
                     let idle = rev == Some(listing.rev) && begun.elapsed() < HASTY;
                     // A version below ours is another count: only the whole list says what holds.
                     let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
                     rev = if lost { None } else { Some(listing.rev) };
                     self.version.set(rev);
-                    if failed > 0 {
-                        log::line(&format!("discovery: answers again after {failed} failed calls"));
-                        failed = 0;
-                    }
                     // No change is news too where discovery is asked: the call did not fail.
                     if !lost {
-                        listing.tell();
+                        listing.tell(begun.elapsed());
                         let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
                         driver.take(Input::List(kind, listing.targets));
                     }
@@ -197,7 +223,11 @@
                     if failed.is_power_of_two() {
                         log::line(&format!("discovery: no answer to {failed} calls in a row: {e}"));
                     }
-                    if self.mode == Discovery::OnRequest {
+                    if self.mode == Discovery::OnRequest && unheard(&*e) && !repeated {
+                        // What it would have said counts as told soon, and silence is no sign of load: an
+                        // overbooked service says no.
+                        repeated = true;
+                    } else if self.mode == Discovery::OnRequest {
                         // The decisions pace the calls: each costs the one service of all nodes.
                         wanted = false;
                         driver.take(Input::List(ListKind::Failed, Vec::new()));
@@ -211,22 +241,49 @@
         }
     }
 
+    /// One call: its answer, or none where a watch is to be made anew, on the connection that is then in `conn`.
     async fn call(
         &self,
         at: SocketAddr,
         conn: &mut Option<Conn>,
         rev: Option<u64>,
-    ) -> Result<Listing, Box<dyn Error>> {
-        let wait_ms = if self.mode == Discovery::Pushed { PUSHED_WAIT_MS } else { ASKED_WAIT_MS };
+        age: Duration,
+        failed: u32,
+    ) -> Result<Option<Listing>, Box<dyn Error>> {
+        let (wait, answer) = match self.mode {
+            Discovery::Pushed => (PUSHED_WAIT, PUSHED_ANSWER),
+            Discovery::OnRequest => (ASKED_WAIT, ASKED_ANSWER),
+        };
         let (path, wait) = match rev {
-            None => ("/discovery/hosts".to_owned(), Duration::from_millis(ASKED_WAIT_MS / 10)),
-            Some(rev) => {
-                let path = format!("/discovery/hosts?after={rev}&wait_ms={wait_ms}");
-                (path, Duration::from_millis(wait_ms))
-            }
+            None => ("/discovery/hosts".to_owned(), Duration::ZERO),
+            Some(rev) => (format!("/discovery/hosts?after={rev}&wait_ms={}", wait.as_millis()), wait),
         };
+        let answer = answer * failed.saturating_add(1).min(MOST_PATIENCE);
         let request = Request::get(path).header(HOST, at.to_string()).body(Sending::empty())?;
-        tokio::time::timeout(wait + SLACK, self.exchange(at, conn, request)).await?
+        let fresh = tokio::select! {
+            answered = tokio::time::timeout(wait + answer, self.exchange(at, conn, request, answer)) => {
+                return Ok(Some(answered??));
+            }
+            fresh = self.renewal(at, age) => fresh,
+        };
+        *conn = Some(fresh);
+        Ok(None)
+    }
+
+    /// A connection for the next watch, once the present one is so old. That one is not given up before.
+    async fn renewal(&self, at: SocketAddr, age: Duration) -> Conn {
+        tokio::time::sleep(age).await;
+        loop {
+            if let Ok(conn) = self.connect(at).await {
+                return conn;
+            }
+            tokio::time::sleep(ASKED_CONNECT).await;
+        }
+    }
+
+    async fn connect(&self, at: SocketAddr) -> Result<Conn, Box<dyn Error>> {
+        let limit = if self.mode == Discovery::Pushed { PUSHED_CONNECT } else { ASKED_CONNECT };
+        tokio::time::timeout(limit, Conn::open(at, self.descriptors.take_own(), LIST_BUFFER)).await?
     }
 
     async fn exchange(
@@ -234,18 +291,24 @@
         at: SocketAddr,
         kept: &mut Option<Conn>,
         request: Request<Sending>,
+        body_time: Duration,
     ) -> Result<Listing, Box<dyn Error>> {
         let mut conn = match kept.take().filter(Conn::alive) {
             Some(conn) => conn,
-            None => Conn::open(at, self.descriptors.take_own(), LIST_BUFFER).await?,
+            None => self.connect(at).await?,
         };
-        let answer = conn.exchange(request, LIST_LIMIT, SLACK).await?;
+        let answer = conn.exchange(request, LIST_LIMIT, body_time).await?;
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status()).into());
         }
         let json = serde_json::from_slice(answer.body())?;
-        let listing = listing(&json, &self.names).ok_or("not a list")?;
+        let listing = listing(&json, &self.names).ok_or(Failure::Spoilt)?;
         *kept = Some(conn);
         Ok(listing)
     }
 }
+
+/// Nothing came in time, or nothing that can be read: discovery did not say no.
+fn unheard(e: &(dyn Error + 'static)) -> bool {
+    e.is::<Elapsed>() || e.is::<serde_json::Error>() || matches!(e.downcast_ref(), Some(Failure::Spoilt))
+}
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -108,6 +108,7 @@
         }
         None => None,
     };
+    let rng = fastrand::Rng::with_seed(!config.seed);
     let balancer = Balancer::new(config.settings, config.seed)?;
     let (wish, wishes) = mpsc::unbounded_channel();
     let driver = Driver::new(balancer, upstream.clone(), peers.clone(), wish);
@@ -130,6 +131,7 @@
         wishes,
         version,
         behind,
+        rng,
     };
     spawn_local(watch.run(driver.clone()));
     spawn_local(reload(hangup, told));
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -16,8 +16,12 @@
 pub const PATIENCE: Duration = Duration::from_secs(10);
 
 /// Waits until `done`, for `PATIENCE` at most.
-pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+pub fn wait_for(what: &str, done: impl FnMut() -> bool) {
+    wait_by(Instant::now() + PATIENCE, what, done);
+}
+
+/// Waits until `done`, which must be so by `end`.
+pub fn wait_by(end: Instant, what: &str, mut done: impl FnMut() -> bool) {
     while !done() {
         assert!(Instant::now() < end, "waited in vain: {what}");
         thread::sleep(Duration::from_millis(2));
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -79,6 +79,44 @@
     wait_for("the news arrived", || node.up() == 503);
 }
 
+/// A node whose watch and the `misses` calls after it get no answer, while a backend begins to drain: the moment at
+/// which the news counts as told, `counts` after the watch began and its wait, by the pages, must find it known.
+fn silence_is_overcome(mode: &str, misses: u32, counts: impl Fn(Duration) -> Duration) {
+    let (leaving, staying) = (Record::default(), Record::default());
+    let addresses = [backend(&leaving, |_, _| ok(b"x")), backend(&staying, |_, _| ok(b"x"))];
+    let mut targets = all_up(&addresses);
+    let discovery = Discovery::start(targets.clone());
+    let node = Node::start(discovery.address, |c| c["settings"]["membershipMode"] = mode.into());
+    wait_for("a watch is out", || discovery.calls() >= 2);
+    let begun = Instant::now();
+    discovery.silent(true);
+    let wait = discovery.asked()[1]
+        .split_once("wait_ms=")
+        .map(|(_, rest)| rest.split(' ').next().and_then(|ms| ms.parse().ok()).unwrap());
+    let told = begun + counts(Duration::from_millis(wait.unwrap()));
+    targets[0] = target("s-0", addresses[0], "draining");
+    discovery.set(targets);
+    wait_by(told, "the calls are made anew", || discovery.calls() >= 3 + misses);
+    discovery.silent(false);
+    // The call after that comes when its news is known.
+    wait_by(told, "the news is known", || discovery.calls() >= 4 + misses);
+    let before = leaving.count();
+    for _ in 0..20 {
+        assert_eq!(ask(node.address, &request("bid", 900)).status(), 200);
+    }
+    assert_eq!((leaving.count() - before, staying.count() >= 20), (0, true));
+}
+
+#[test]
+fn a_silent_watch_and_a_silent_call_after_it_are_made_anew_before_their_news_counts() {
+    silence_is_overcome("on_request", 1, |wait| wait + Duration::from_secs(2));
+}
+
+#[test]
+fn a_silent_agent_is_asked_anew_before_its_news_counts() {
+    silence_is_overcome("pushed", 1, |wait| Duration::from_secs(6).max(wait + Duration::from_secs(2)));
+}
+
 #[test]
 fn a_drain_told_during_the_handshake_stops_the_send() {
     // A listener whose queue is full lets no connection come up until one is taken out.
