After a new configuration ask discovery for what changed, and again soon after a failure

To blame: Watch::run in src/node/discovery.rs, which asked for the whole list of 180 servers, and the pace of 2.5 to 5 s after a failure.

Change: the changes since the node's list are asked for with no wait, then the watch; until 4 s after the signal a failed call is made again after 0.25 to 0.5 s. Not taken: whole lists at a quicker pace, which add to the queue. The test fails without it.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -40,6 +40,10 @@
 const LIST_BUFFER: usize = 64 * 1024;
 /// The whole list may be a great deal larger than a request.
 const LIST_LIMIT: usize = 8 * 1024 * 1024;
+/// After a new configuration what discovery has counts as told so soon. Until then a call that fails is made again
+/// after a pause of this at most, whatever the decisions' pace.
+const MOVED: Duration = Duration::from_secs(4);
+const MOVED_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
 const PAUSE: Duration = Duration::from_millis(150);
 /// A watch without news that took less than this has not waited.
@@ -163,14 +167,22 @@
         let mut failed = 0_u32;
         // Since the last answer a call without one was made again at once.
         let mut repeated = false;
+        // The next call must not wait for news: whether there is any is to be known soon.
+        let mut check = self.behind;
+        // Until when what discovery has is to be known after a new configuration.
+        let mut owed = Instant::now();
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
                 wanted = wish;
             }
             let now_at = *address.borrow_and_update();
             if at != now_at {
-                // Another discovery counts on its own: only its whole list, asked for at once, says what holds.
-                (at, conn, rev, wanted) = (now_at, None, None, true);
+                // It is asked at once. An agent may count on its own, and tells all of its list for nothing; the one
+                // service of all nodes has the same count wherever it is, and cannot tell each of them all of
+                // it in time.
+                rev = rev.filter(|_| self.mode == Discovery::OnRequest);
+                (at, conn, wanted, check) = (now_at, None, true, true);
+                owed = Instant::now() + MOVED;
             }
             if !wanted {
                 tokio::select! {
@@ -186,11 +198,12 @@
             let age = RENEWED.mul_f64(1.0 - SPREAD * self.rng.f64());
             // A call to where discovery was is given up: its answer would be that of another list.
             let answered = tokio::select! {
-                answered = self.call(at, &mut conn, rev, age, failed) => answered,
+                answered = self.call(at, &mut conn, rev, (!check).then_some(age), failed) => answered,
                 Ok(()) = address.changed() => continue,
             };
             match answered {
                 Ok(answer) => {
+                    let checked = std::mem::take(&mut check);
                     repeated = false;
                     if failed > 0 {
                         log::line(&format!("discovery: answers again after {failed} failed calls"));
@@ -202,7 +215,7 @@
                         continue;
                     };
                     // A watch that did not wait and brought nothing must not make this loop spin.
-                    let idle = rev == Some(listing.rev) && begun.elapsed() < HASTY;
+                    let idle = !checked && rev == Some(listing.rev) && begun.elapsed() < HASTY;
                     // A version below ours is another count: only the whole list says what holds.
                     let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
                     rev = if lost { None } else { Some(listing.rev) };
@@ -227,6 +240,8 @@
                         // What it would have said counts as told soon, and silence is no sign of load: an
                         // overbooked service says no.
                         repeated = true;
+                    } else if self.mode == Discovery::OnRequest && Instant::now() < owed {
+                        tokio::time::sleep(MOVED_PAUSE.mul_f64(0.5 + 0.5 * self.rng.f64())).await;
                     } else if self.mode == Discovery::OnRequest {
                         // The decisions pace the calls: each costs the one service of all nodes.
                         wanted = false;
@@ -241,13 +256,14 @@
         }
     }
 
-    /// One call: its answer, or none where a watch is to be made anew, on the connection that is then in `conn`.
+    /// One call: its answer, or none where a watch is to be made anew, on the connection that is then in `conn`. A
+    /// watch is made anew at the age `watch`; without one, the call does not wait for news.
     async fn call(
         &self,
         at: SocketAddr,
         conn: &mut Option<Conn>,
         rev: Option<u64>,
-        age: Duration,
+        watch: Option<Duration>,
         failed: u32,
     ) -> Result<Option<Listing>, Box<dyn Error>> {
         let (wait, answer) = match self.mode {
@@ -256,7 +272,10 @@
         };
         let (path, wait) = match rev {
             None => ("/discovery/hosts".to_owned(), Duration::ZERO),
-            Some(rev) => (format!("/discovery/hosts?after={rev}&wait_ms={}", wait.as_millis()), wait),
+            Some(rev) => {
+                let wait = watch.map_or(Duration::ZERO, |_| wait);
+                (format!("/discovery/hosts?after={rev}&wait_ms={}", wait.as_millis()), wait)
+            }
         };
         let answer = answer * failed.saturating_add(1).min(MOST_PATIENCE);
         let request = Request::get(path).header(HOST, at.to_string()).body(Sending::empty())?;
@@ -264,7 +283,7 @@
             answered = tokio::time::timeout(wait + answer, self.exchange(at, conn, request, answer)) => {
                 return Ok(Some(answered??));
             }
-            fresh = self.renewal(at, age) => fresh,
+            fresh = self.renewal(at, watch.unwrap_or(RENEWED)) => fresh,
         };
         *conn = Some(fresh);
         Ok(None)
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -231,6 +231,8 @@
     silent: bool,
     hasty: bool,
     calls: u32,
+    /// So many calls to come are refused.
+    refusals: u32,
     /// What each call asked for.
     asked: Vec<String>,
 }
@@ -278,6 +280,12 @@
             while state.silent || (!state.hasty && state.rev <= after && Instant::now() < end) {
                 state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
             }
+            if state.refusals > 0 {
+                state.refusals -= 1;
+                drop(state);
+                let _ = stream.write_all(&reply("503 Service Unavailable", "", b""));
+                continue;
+            }
             let fresh = state.rev > after;
             let targets = if fresh { state.targets.clone() } else { Vec::new() };
             let body = json!({"rev": state.rev, "all": fresh, "targets": targets}).to_string();
@@ -300,6 +308,11 @@
         self.state.1.notify_all();
     }
 
+    /// Refuses so many calls to come.
+    pub fn refuse(&self, calls: u32) {
+        self.state.0.lock().unwrap().refusals = calls;
+    }
+
     /// Answers watches at once, news or not.
     pub fn hasty(&self, hasty: bool) {
         self.state.0.lock().unwrap().hasty = hasty;
--- a/tests/node_reload.rs
+++ b/tests/node_reload.rs
@@ -4,6 +4,7 @@
 use node::*;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_new_configuration_is_followed_under_load_and_a_bad_one_is_not() {
@@ -51,3 +52,32 @@
     });
     assert!(node.running());
 }
+
+#[test]
+fn what_drains_right_after_a_new_configuration_is_known_in_time_though_calls_are_refused() {
+    let (leaving, staying) = (Record::default(), Record::default());
+    let addresses = [backend(&leaving, |_, _| ok(b"x")), backend(&staying, |_, _| ok(b"x"))];
+    let mut targets = all_up(&addresses);
+    let first = Discovery::start(targets.clone());
+    let mut node = Node::start(first.address, |c| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        // After a failure so many nodes call again over some seconds.
+        c["settings"]["instances"] = 300.into();
+    });
+    wait_for("a watch is out", || first.calls() >= 2);
+    targets[0] = target("s-0", addresses[0], "draining");
+    // The same service at another place: its count goes on, and it has too many callers.
+    let second = Discovery::start(all_up(&addresses));
+    second.set(targets);
+    second.refuse(3);
+    let told = Instant::now() + Duration::from_secs(4);
+    node.reload(second.address);
+    wait_by(told, "the call after the one that is answered", || second.calls() >= 5);
+    let asked = second.asked();
+    assert!(asked[3].contains("after=1&wait_ms=0 "), "all of the list, or a wait for news: {}", asked[3]);
+    assert!(asked[4].contains("after=2&wait_ms=60000 "), "no watch: {}", asked[4]);
+    for _ in 0..20 {
+        assert_eq!(ask(node.address, &request("bid", 900)).status(), 200);
+    }
+    assert_eq!((leaving.count(), staying.count()), (0, 20));
+}
