Let no bad field of its entry keep a server alive that the list says leaves

Seen by reading the list's code against the rule on drains: an entry with state draining whose endpoint, cell or size could not be read was skipped whole, so the server stayed up (`target` in src/node/discovery.rs). And a whole list none of whose entries could be read took every server away, though nothing had been told.

Change: of an entry that leaves only the id must be readable; a list of unreadable entries alone is a failed call, the old list kept. Both tests fail without it (all sends to the leaving server; 503 for a fleet that was there).

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -80,7 +80,8 @@
     }
 }
 
-/// Reads a list in discovery's form. Bad lines are logged and skipped: one of them must not hide the rest.
+/// Reads a list in discovery's form. Bad lines are logged and skipped: one of them must not hide the rest. Where all
+/// are bad it is no list.
 pub fn listing(json: &Value, names: &Names) -> Option<Listing> {
     let rev = json.get("rev")?.as_u64()?;
     let all = json.get("all").and_then(Value::as_bool).unwrap_or(false);
@@ -97,7 +98,7 @@
             }
         }
     }
-    Some(Listing { rev, all, targets, skipped })
+    (lines.is_empty() || !targets.is_empty()).then_some(Listing { rev, all, targets, skipped })
 }
 
 fn target(line: &Value, names: &Names) -> Result<Target, &'static str> {
@@ -109,11 +110,13 @@
         Some("removed") => Health::Gone,
         _ => return Err("state"),
     };
-    let address = match text("endpoint") {
-        Some(text) => Some(text.parse().map_err(|_| "endpoint")?),
-        None if health == Health::Gone => None,
-        None => return Err("endpoint"),
-    };
+    let address = text("endpoint").ok_or("endpoint").and_then(|t| t.parse().map_err(|_| "endpoint"));
+    let backend = BackendId(stable_hash(uid));
+    if health != Health::Up {
+        // Of one that leaves nothing else matters: whatever cannot be read must not keep it alive.
+        let entry = Entry { backend, zone: 0, cell: 0, health, units: 1.0, ready_at_ms: 0.0 };
+        return Ok(Target { entry, address: address.ok() });
+    }
     let number = |field: &'static str, default: f64| match line.get(field) {
         None | Some(Value::Null) => Ok(default),
         Some(v) => v.as_f64().ok_or(field),
@@ -123,7 +126,7 @@
         return Err("pod_group");
     }
     let entry = Entry {
-        backend: BackendId(stable_hash(uid)),
+        backend,
         zone: names.zone(text("az")),
         cell: cell as u32,
         health,
@@ -131,7 +134,7 @@
         // Wall time, which is what the driver's clock counts in.
         ready_at_ms: number("boot_ms", 0.0)?,
     };
-    Ok(Target { entry, address })
+    Ok(Target { entry, address: Some(address?) })
 }
 
 /// Keeps the list fresh for as long as the node lives.
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -228,6 +228,8 @@
 struct ListState {
     rev: u64,
     targets: Vec<Value>,
+    /// The targets are what changed, not all.
+    changes: bool,
     silent: bool,
     hasty: bool,
     calls: u32,
@@ -237,7 +239,7 @@
     asked: Vec<String>,
 }
 
-/// A fake discovery that always tells the whole list.
+/// A fake discovery that tells the whole list, or the last changes to it alone.
 #[derive(Clone)]
 pub struct Discovery {
     state: Arc<(Mutex<ListState>, Condvar)>,
@@ -288,7 +290,8 @@
             }
             let fresh = state.rev > after;
             let targets = if fresh { state.targets.clone() } else { Vec::new() };
-            let body = json!({"rev": state.rev, "all": fresh, "targets": targets}).to_string();
+            let body = json!({"rev": state.rev, "all": fresh && !state.changes, "targets": targets});
+            let body = body.to_string();
             drop(state);
             if stream.write_all(&reply("200 OK", "", body.as_bytes())).is_err() {
                 return;
@@ -303,6 +306,12 @@
         self.state.1.notify_all();
     }
 
+    /// Tells these alone.
+    pub fn change(&self, targets: Vec<Value>) {
+        self.state.0.lock().unwrap().changes = true;
+        self.set(targets);
+    }
+
     pub fn silent(&self, silent: bool) {
         self.state.0.lock().unwrap().silent = silent;
         self.state.1.notify_all();
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -63,6 +63,41 @@
     }
 }
 
+#[test]
+fn whatever_else_of_its_entry_is_bad_a_backend_that_leaves_gets_nothing_more() {
+    let bad = [
+        json!({"uid": "s-0", "endpoint": "nowhere", "state": "draining"}),
+        json!({"uid": "s-0", "state": "draining"}),
+        json!({"uid": "s-0", "endpoint": "127.0.0.1:1", "state": "draining", "pod_group": -1}),
+        json!({"uid": "s-0", "endpoint": 7, "state": "removed", "capacity_hint": "big", "boot_ms": "now"}),
+    ];
+    for entry in bad {
+        let (leaving, staying) = (Record::default(), Record::default());
+        let addresses = [backend(&leaving, |_, _| ok(b"x")), backend(&staying, |_, _| ok(b"x"))];
+        let discovery = Discovery::start(all_up(&addresses));
+        let node = Node::start(discovery.address, |_| {});
+        wait_for("a watch is out", || discovery.calls() >= 2);
+        discovery.change(vec![entry.clone()]);
+        wait_for("the next watch is out", || discovery.calls() >= 3);
+        for _ in 0..20 {
+            assert_eq!(ask(node.address, &request("bid", 900)).status(), 200, "{entry}");
+        }
+        assert_eq!((leaving.count(), staying.count()), (0, 20), "{entry}");
+    }
+}
+
+#[test]
+fn a_list_of_which_no_entry_can_be_read_is_none() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    discovery.set(vec![json!(1), json!({"id": "s-0"}), json!("what?")]);
+    let calls = discovery.calls();
+    wait_for("it is asked for again", || discovery.calls() >= calls + 2);
+    assert_eq!(ask(node.address, &request("bid", 900)).status(), 200, "the old list holds");
+}
+
 #[test]
 fn a_discovery_that_falls_silent_is_asked_again_and_its_news_taken() {
     let record = Record::default();
