--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -222,3 +222,50 @@
     }
     let _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn a_thousand_servers_and_a_thousand_peers_fit_into_the_smallest_memory() {
+    const MANY: usize = 1024;
+    let record = Record::default();
+    let address = backend(&record, |_, _| ok(b"x"));
+    // All leave later: one that either process had lost from its list would still be there.
+    let mut targets: Vec<_> = (0..MANY).map(|n| target(&format!("s-{n}"), address, "up")).collect();
+    let discovery = Discovery::start(targets.clone());
+    let socket = TcpListener::bind(free_address()).unwrap();
+    let folder = folder("many");
+    let (listen, peers): (_, Vec<String>) = (
+        free_address().to_string(),
+        (0..MANY).map(|n| format!("127.9.{}.{}:7946", n / 250, n % 250 + 1)).collect(),
+    );
+    let many = |c: &mut Value| {
+        with_console(c);
+        c["limits"]["memory_mb"] = 32.into();
+        c["settings"]["instances"] = MANY.into();
+        c["peer_listen"] = listen.clone().into();
+        c["peers"] = peers.clone().into();
+    };
+    let old = Node::inherit(discovery.address, &socket, &folder, many);
+    wait_for("the old process is ready", || old.up() == 200);
+    assert!(old.call(&format!("disable-server s-{}", MANY - 1)).starts_with("done"));
+    wait_for("the state names all of them", || {
+        let state = std::fs::read_to_string(folder.join("node-state.json")).unwrap_or_default();
+        state.matches("\"served\"").count() == MANY
+    });
+    let mut new = Node::inherit(discovery.address, &socket, &folder, many);
+    wait_for("the new process is ready", || call_if(&new, "ready").starts_with("done"));
+    for _ in 0..20 {
+        assert_eq!(ask(new.address, &request("page", 4000)).status(), 200);
+    }
+    targets.iter_mut().for_each(|target| target["state"] = "draining".into());
+    discovery.set(targets);
+    let nobody = |node: &Node| node.call("ready").starts_with("error");
+    wait_for("nobody is left but the one out of service", || nobody(&old) && nobody(&new));
+    let (old_kb, new_kb) = (old.memory_kb(), new.memory_kb());
+    assert!(old_kb + new_kb < 32 * 1024, "{old_kb} and {new_kb} KB");
+    println!("{old_kb} and {new_kb} KB at {MANY} servers and peers");
+    drop(old);
+    new.terminate();
+    assert!(new.ended().success());
+    assert!(new.log().contains(&format!("{MANY} servers, 1 out of service")));
+    let _ = std::fs::remove_dir_all(folder);
+}
