--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -4,7 +4,7 @@
 use node::*;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
-use std::io::Read;
+use std::io::{BufReader, Read, Write};
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -147,6 +147,52 @@
     silence_is_overcome("on_request", 1, |wait| wait + Duration::from_secs(2));
 }
 
+#[test]
+fn a_silent_call_for_the_whole_list_is_made_again_before_the_list_counts() {
+    let record = Record::default();
+    let discovery = Discovery::start(all_up(&backends(1, &record, |_, _| ok(b"x"))));
+    discovery.silent(true);
+    let node = Node::launch(
+        discovery.address,
+        |c| {
+            c["settings"]["membershipMode"] = "on_request".into();
+            // After a failure so many nodes call again over some seconds.
+            c["settings"]["instances"] = 300.into();
+        },
+        "exec \"$0\"",
+    );
+    wait_for("the list is asked for", || discovery.calls() >= 1);
+    wait_by(Instant::now() + Duration::from_secs(6), "it is again", || discovery.calls() >= 2);
+    discovery.silent(false);
+    wait_for("the list is there", || node.up() == 200);
+}
+
+#[test]
+fn a_watch_is_not_given_up_before_the_next_has_its_connection() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&loopback(0).into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let known = json!({"rev": 41, "all": true, "targets": all_up(&addresses)});
+    let node = Node::start(address, |c| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["known"] = known;
+    });
+    let mut watch = std::net::TcpStream::from(socket.accept().unwrap().0);
+    let asked = Message::read(&mut BufReader::new(watch.try_clone().unwrap())).unwrap();
+    assert!(asked.first_line.contains("after=41&wait_ms="), "{}", asked.first_line);
+    // From now on no connection comes up.
+    let _filler = Client::connect(address);
+    wait_by(Instant::now() + 3 * PATIENCE, "the next watch has no connection", || {
+        tcp_state(address, SYN_SENT)
+    });
+    let news = json!({"rev": 42, "all": false, "targets": [target("s-0", addresses[0], "draining")]});
+    watch.write_all(&reply("200 OK", "", news.to_string().as_bytes())).unwrap();
+    wait_for("the news on the present one is heard", || node.up() == 503);
+}
+
 #[test]
 fn a_silent_agent_is_asked_anew_before_its_news_counts() {
     silence_is_overcome("pushed", 1, |wait| Duration::from_secs(6).max(wait + Duration::from_secs(2)));
