Look after a watch by calls beside it, so that a lower count of discovery shows too

Seen by reading: since a watch is made anew each 15 to 20 s it never comes to its end, and a node whose list has a higher version than discovery counts (one that began anew) hears nothing, for good; before, the end of the wait showed it after 20 s. The new test waits in vain for 30 s without the change.

Change: beside a watch that brings nothing, another call asks each 13.5 to 18 s what changed, with no wait; what it brings is taken, and at the third turn the watch is made anew. Option not taken: the same calls in place of the watch, which leave the node without one each time.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -23,9 +23,11 @@
 /// Where it is asked, as long as the protocol allows: news that a silent watch misses counts as told 2 s after its
 /// wait, and from silence alone nobody can tell that there is none.
 const ASKED_WAIT: Duration = Duration::from_secs(60);
-/// So a watch is made anew at this age, at the latest, news or not. Two in a row may fall silent or fail before
-/// anything counts as told, and the one service of all nodes has no more calls than one in 20 s from each.
-const RENEWED: Duration = Duration::from_secs(20);
+/// So beside a watch that brings nothing it is asked what changed, this often at the least, with no wait, and at the
+/// third turn the watch is made anew. A call may fall silent at each turn before anything counts as told; the one
+/// service of all nodes has about as many calls as from watches of this length.
+const LOOKED_AFTER: Duration = Duration::from_secs(18);
+const LOOKS: u32 = 2;
 /// Part of that by which nodes differ, so that news to all of them does not have all of them call at once later.
 const SPREAD: f64 = 0.25;
 /// What an answer may take beyond the wait, at the first try; more from one failed call to the next, up to
@@ -155,7 +157,7 @@
     pub version: Rc<Cell<Option<u64>>>,
     /// The process before this one knew a newer list: asked for at once, whatever the decisions' pace.
     pub behind: bool,
-    /// For the ages at which watches are made anew.
+    /// For the times between two looks after a watch.
     pub rng: fastrand::Rng,
 }
 
@@ -198,10 +200,10 @@
                 continue;
             }
             let begun = Instant::now();
-            let age = RENEWED.mul_f64(1.0 - SPREAD * self.rng.f64());
+            let every = LOOKED_AFTER.mul_f64(1.0 - SPREAD * self.rng.f64());
             // A call to where discovery was is given up: its answer would be that of another list.
             let answered = tokio::select! {
-                answered = self.call(at, &mut conn, rev, (!check).then_some(age), failed) => answered,
+                answered = self.call(at, &mut conn, rev, (!check).then_some(every), failed) => answered,
                 Ok(()) = address.changed() => continue,
             };
             match answered {
@@ -212,7 +214,7 @@
                         log::line(&format!("discovery: answers again after {failed} failed calls"));
                         failed = 0;
                     }
-                    // A watch that was held for so long did not fail. If it is silent, the next one tells.
+                    // The watch is old, and what was asked beside it brought no news.
                     let Some(listing) = answer else {
                         driver.take(Input::List(ListKind::Changes, Vec::new()));
                         continue;
@@ -260,7 +262,7 @@
     }
 
     /// One call: its answer, or none where a watch is to be made anew, on the connection that is then in `conn`. A
-    /// watch is made anew at the age `watch`; without one, the call does not wait for news.
+    /// watch is looked after each `watch`; without that, the call does not wait for news.
     async fn call(
         &self,
         at: SocketAddr,
@@ -273,34 +275,51 @@
             Discovery::Pushed => (PUSHED_WAIT, PUSHED_ANSWER),
             Discovery::OnRequest => (ASKED_WAIT, ASKED_ANSWER),
         };
-        let (path, wait) = match rev {
-            None => ("/discovery/hosts".to_owned(), Duration::ZERO),
-            Some(rev) => {
-                let wait = watch.map_or(Duration::ZERO, |_| wait);
-                (format!("/discovery/hosts?after={rev}&wait_ms={}", wait.as_millis()), wait)
+        let wait = rev.and(watch).map_or(Duration::ZERO, |_| wait);
+        let answer = answer * failed.saturating_add(1).min(MOST_PATIENCE);
+        let mut beside = None;
+        let looked = async {
+            match (rev, watch) {
+                (Some(rev), Some(every)) => self.look(at, &mut beside, rev, every).await,
+                _ => std::future::pending().await,
             }
         };
-        let answer = answer * failed.saturating_add(1).min(MOST_PATIENCE);
-        let request = Request::get(path).header(HOST, at.to_string()).body(Sending::empty())?;
-        let fresh = tokio::select! {
-            answered = tokio::time::timeout(wait + answer, self.exchange(at, conn, request, answer)) => {
+        let looked = tokio::select! {
+            answered = tokio::time::timeout(wait + answer, self.exchange(at, conn, rev, wait, answer)) => {
                 return Ok(Some(answered??));
             }
-            fresh = self.renewal(at, watch.unwrap_or(RENEWED)) => fresh,
+            looked = looked => looked,
         };
-        *conn = Some(fresh);
-        Ok(None)
+        *conn = beside;
+        Ok(looked)
     }
 
-    /// A connection for the next watch, once the present one is so old. That one is not given up before.
-    async fn renewal(&self, at: SocketAddr, age: Duration) -> Conn {
-        tokio::time::sleep(age).await;
-        loop {
-            if let Ok(conn) = self.connect(at).await {
-                return conn;
+    /// Asks now and then, beside a watch that brings nothing, what changed since `rev`: what a silent watch misses, and
+    /// a count that began anew, show in no other way before its end. None where it is time for the next watch; the
+    /// present one is not given up before.
+    async fn look(
+        &self,
+        at: SocketAddr,
+        conn: &mut Option<Conn>,
+        rev: u64,
+        every: Duration,
+    ) -> Option<Listing> {
+        for _ in 0..LOOKS {
+            tokio::time::sleep(every).await;
+            let listing = loop {
+                let call = self.exchange(at, conn, Some(rev), Duration::ZERO, ASKED_ANSWER);
+                match tokio::time::timeout(ASKED_ANSWER, call).await {
+                    Ok(Ok(listing)) => break listing,
+                    // Refused by a service with too many callers, or silent; the watch still stands.
+                    _ => tokio::time::sleep(every / 8).await,
+                }
+            };
+            if listing.rev != rev || listing.all || !listing.targets.is_empty() {
+                return Some(listing);
             }
-            tokio::time::sleep(ASKED_CONNECT).await;
         }
+        tokio::time::sleep(every).await;
+        None
     }
 
     async fn connect(&self, at: SocketAddr) -> Result<Conn, Box<dyn Error>> {
@@ -312,9 +331,15 @@
         &self,
         at: SocketAddr,
         kept: &mut Option<Conn>,
-        request: Request<Sending>,
+        rev: Option<u64>,
+        wait: Duration,
         body_time: Duration,
     ) -> Result<Listing, Box<dyn Error>> {
+        let path = rev.map_or_else(
+            || "/discovery/hosts".to_owned(),
+            |rev| format!("/discovery/hosts?after={rev}&wait_ms={}", wait.as_millis()),
+        );
+        let request = Request::get(path).header(HOST, at.to_string()).body(Sending::empty())?;
         let mut conn = match kept.take().filter(Conn::alive) {
             Some(conn) => conn,
             None => self.connect(at).await?,
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -193,6 +193,20 @@
     wait_for("the news on the present one is heard", || node.up() == 503);
 }
 
+#[test]
+fn a_list_from_a_higher_count_than_that_of_discovery_does_not_last() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(vec![target("s-0", addresses[0], "draining")]);
+    let known = json!({"rev": 41, "all": true, "targets": all_up(&addresses)});
+    let node = Node::start(discovery.address, |c| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["known"] = known;
+    });
+    // Nothing newer than that will come in the time that its watch may wait.
+    wait_by(Instant::now() + 3 * PATIENCE, "the whole list is asked for", || node.up() == 503);
+}
+
 #[test]
 fn a_silent_agent_is_asked_anew_before_its_news_counts() {
     silence_is_overcome("pushed", 1, |wait| Duration::from_secs(6).max(wait + Duration::from_secs(2)));
