--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -311,7 +311,7 @@
                 match tokio::time::timeout(ASKED_ANSWER, call).await {
                     Ok(Ok(listing)) => break listing,
                     // Refused by a service with too many callers, or silent; the watch still stands.
-                    _ => tokio::time::sleep(every / 8).await,
+                    _ => tokio::time::sleep(every / 4).await,
                 }
             };
             if listing.rev != rev || listing.all || !listing.targets.is_empty() {
