Ask discovery again within 0.9 s of a failed call, and without a wait for news

Read from the code and forced on loopback: Balancer::on_list paced by up to half of the time for asking (5 s with many nodes), Watch::run made the next call a watch, which may be silent for 18 s, Watch::look repeated a refused call beside a watch after 3.4 to 4.5 s, and a call was given up to 6.6 s after failures.

Now: 0.9 s at most, with jitter; the next call does not wait for news; half a second beside a watch; 2.2 s a call. Worst sum 5.8 s.

The test of a new configuration asked for each of 20 requests to be served, by a node of 300 whose caps may refuse one on a loaded machine; it now asks until the server that stays has served 20 and sees that the one that leaves got none, as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -503,12 +503,11 @@
 
     fn on_list(&mut self, now: f64, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            // Asked again at a jittered pace that backs off, but often enough not to count as deaf.
+            // Asked again at a jittered pace that backs off, yet soon enough for its news to be had in time.
             self.ask_failures = (self.ask_failures + 1).min(5);
-            let most = (self.s.must_ask_in_ms / 2.0).max(1.0);
-            let first = self.tick_span().max(self.call_span() / 2.0);
-            let wait = (first * f64::from(1_u32 << self.ask_failures)).min(most);
-            out.push(Action::Timer { token: ASK, at_ms: now + wait * (0.5 + 0.5 * self.rng.f64()) });
+            let wait = self.tick_span().max(self.call_span() / 2.0) * f64::from(1_u32 << self.ask_failures);
+            let wait = wait.min(ASK_PAUSE_MS).min(self.s.must_ask_in_ms / 2.0);
+            out.push(Action::Timer { token: ASK, at_ms: now + wait * (0.1 + 0.9 * self.rng.f64()) });
             return;
         }
         self.ask_failures = 0;
@@ -1257,6 +1256,9 @@
 }
 /// What one call to discovery is held to take it, in milliseconds.
 const CALL_MS: f64 = 40.0;
+/// The longest pause after a failed call to discovery, in milliseconds: its news counts as told 6 s after it could
+/// be had, which must do for two such pauses and two calls that wait their turn there, 2 s at the most.
+const ASK_PAUSE_MS: f64 = 900.0;
 /// Time between two trials of one backend, over all nodes, in milliseconds.
 const TRIAL_MS: f64 = 100.0;
 /// Share of failures from which a class is held to be at fault at a backend.
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -28,10 +28,13 @@
 /// service of all nodes has about as many calls as from watches of this length.
 const LOOKED_AFTER: Duration = Duration::from_secs(18);
 const LOOKS: u32 = 2;
+/// After a call beside a watch that failed, the next comes after this part of that: about half a second.
+const LOOKED_AGAIN: u32 = 32;
 /// Part of that by which nodes differ, so that news to all of them does not have all of them call at once later.
 const SPREAD: f64 = 0.25;
-/// What an answer may take beyond the wait, at the first try; more from one failed call to the next, up to
-/// `MOST_PATIENCE` times. A call waits its turn at the one service of all nodes, and not at an agent.
+/// What an answer may take beyond the wait. A call waits its turn at the one service of all nodes, which fails it after
+/// 2 s; more time would have what a silent call misses count as told before the next is answered. An agent answers
+/// at once; it is given more from one failed call to the next, up to `MOST_PATIENCE` times.
 const PUSHED_ANSWER: Duration = Duration::from_millis(500);
 const ASKED_ANSWER: Duration = Duration::from_millis(2_200);
 const MOST_PATIENCE: u32 = 3;
@@ -42,9 +45,9 @@
 const LIST_BUFFER: usize = 64 * 1024;
 /// The whole list may be a great deal larger than a request.
 const LIST_LIMIT: usize = 8 * 1024 * 1024;
-/// After a new configuration what discovery has counts as told so soon. Until then a call that fails is made again
-/// after a pause of this at most, whatever the decisions' pace.
+/// After a new configuration what discovery has counts as told so soon.
 const MOVED: Duration = Duration::from_secs(4);
+/// Until then a call that fails is made again after a pause of this at most, whatever the decisions' pace.
 const MOVED_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -238,6 +241,8 @@
                 Err(e) => {
                     conn = None;
                     failed = failed.saturating_add(1);
+                    // What was missed counts as told soon. A watch that is silent in its turn would not show it.
+                    check = true;
                     if failed.is_power_of_two() {
                         log::line(&format!("discovery: no answer to {failed} calls in a row: {e}"));
                     }
@@ -272,11 +277,10 @@
         failed: u32,
     ) -> Result<Option<Listing>, Box<dyn Error>> {
         let (wait, answer) = match self.mode {
-            Discovery::Pushed => (PUSHED_WAIT, PUSHED_ANSWER),
+            Discovery::Pushed => (PUSHED_WAIT, PUSHED_ANSWER * failed.saturating_add(1).min(MOST_PATIENCE)),
             Discovery::OnRequest => (ASKED_WAIT, ASKED_ANSWER),
         };
         let wait = rev.and(watch).map_or(Duration::ZERO, |_| wait);
-        let answer = answer * failed.saturating_add(1).min(MOST_PATIENCE);
         let mut beside = None;
         let looked = async {
             match (rev, watch) {
@@ -310,8 +314,9 @@
                 let call = self.exchange(at, conn, Some(rev), Duration::ZERO, ASKED_ANSWER);
                 match tokio::time::timeout(ASKED_ANSWER, call).await {
                     Ok(Ok(listing)) => break listing,
-                    // Refused by a service with too many callers, or silent; the watch still stands.
-                    _ => tokio::time::sleep(every / 4).await,
+                    // Refused by a service with too many callers, or silent. The watch still stands, but may be silent
+                    // too: this is made again soon, and like `every` not at one time by all nodes.
+                    _ => tokio::time::sleep(every / LOOKED_AGAIN).await,
                 }
             };
             if listing.rev != rev || listing.all || !listing.targets.is_empty() {
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -721,6 +721,26 @@
     assert!(gaps[7] > gaps[0], "backs off: {gaps:?}");
 }
 
+#[test]
+fn however_often_discovery_refuses_its_next_answer_can_be_had_in_time() {
+    for (instances, must_ask_in_ms) in [(1, 10_000.0), (30, 10_000.0), (350, 60_000.0), (350, 1_000.0)] {
+        let s = Settings { discovery: Discovery::OnRequest, instances, must_ask_in_ms, ..settings() };
+        let mut w = World::new(s, 1);
+        w.list(ListKind::Saved, vec![up(1)]);
+        w.wait(must_ask_in_ms / 2.0);
+        for n in 0..40 {
+            let (asked, from) = (w.watches.len(), w.now);
+            w.feed(Event::List { kind: ListKind::Failed, entries: vec![] });
+            w.wait(10_000.0);
+            // News counts as told after 6 s: time for two pauses and two calls of 2 s, one of which is refused.
+            let pause = w.watches[asked] - from;
+            assert!(pause <= 900.0 && pause <= must_ask_in_ms / 2.0, "{instances} nodes, {n}: {pause} ms");
+            assert!(pause >= 20.0, "{instances} nodes, {n}: {pause} ms give discovery no rest");
+            assert_eq!(w.watches.len(), asked + 1);
+        }
+    }
+}
+
 /// The most calls to discovery in any tenth of a second, by times of calls.
 fn crowd(mut calls: Vec<f64>) -> usize {
     calls.sort_by(f64::total_cmp);
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -231,6 +231,8 @@
     /// The targets are what changed, not all.
     changes: bool,
     silent: bool,
+    /// Calls that wait for news are silent, others are not.
+    watches_silent: bool,
     hasty: bool,
     calls: u32,
     /// So many calls to come are refused.
@@ -274,12 +276,16 @@
                 rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
             };
             let after = number("after=").unwrap_or(0);
-            let end = Instant::now() + Duration::from_millis(number("wait_ms=").unwrap_or(0));
+            let wait = number("wait_ms=").unwrap_or(0);
+            let end = Instant::now() + Duration::from_millis(wait);
             let (lock, changed) = &*self.state;
             let mut state = lock.lock().unwrap();
             state.calls += 1;
             state.asked.push(message.first_line.clone());
-            while state.silent || (!state.hasty && state.rev <= after && Instant::now() < end) {
+            while state.silent
+                || (state.watches_silent && wait > 0)
+                || (!state.hasty && state.rev <= after && Instant::now() < end)
+            {
                 state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
             }
             if state.refusals > 0 {
@@ -322,6 +328,13 @@
         self.state.0.lock().unwrap().refusals = calls;
     }
 
+    /// From silence goes over to silent watches alone, and refuses so many calls beside them.
+    pub fn refuse_calls_beside(&self, calls: u32) {
+        let mut state = self.state.0.lock().unwrap();
+        (state.silent, state.watches_silent, state.refusals) = (false, true, calls);
+        self.state.1.notify_all();
+    }
+
     /// Answers watches at once, news or not.
     pub fn hasty(&self, hasty: bool) {
         self.state.0.lock().unwrap().hasty = hasty;
@@ -598,6 +611,17 @@
     statuses
 }
 
+/// Asks until `staying` has served some more, and sees that `leaving` gets nothing. A node of many may refuse one of
+/// several requests that are answered late, so not each is served.
+pub fn leaves_alone(node: &Node, leaving: &Record, staying: &Record) {
+    let (left, stayed) = (leaving.count(), staying.count());
+    wait_for("the one that stays serves", || {
+        ask(node.address, &request("bid", 900));
+        staying.count() >= stayed + 20
+    });
+    assert_eq!(leaving.count(), left, "sent to one that leaves");
+}
+
 pub fn loopback(port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)
 }
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -167,6 +167,50 @@
     wait_for("the list is there", || node.up() == 200);
 }
 
+/// A node of many that asks for its list of a discovery with two backends, one of which is about to leave.
+fn asks_with_two_backends() -> (Discovery, Vec<Value>, Node, [Record; 2]) {
+    let records = [Record::default(), Record::default()];
+    let addresses = [backend(&records[0], |_, _| ok(b"x")), backend(&records[1], |_, _| ok(b"x"))];
+    let targets = all_up(&addresses);
+    let discovery = Discovery::start(targets.clone());
+    let node = Node::start(discovery.address, |c| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["settings"]["instances"] = 300.into();
+    });
+    wait_for("a watch is out", || discovery.calls() >= 2);
+    let mut news = targets;
+    news[0] = target("s-0", addresses[0], "draining");
+    (discovery, news, node, records)
+}
+
+#[test]
+fn after_calls_that_discovery_refuses_its_news_is_had_before_it_counts() {
+    let (discovery, news, node, [leaving, staying]) = asks_with_two_backends();
+    // The watch ends with a no, and so do the next calls: as when discovery has too many callers.
+    discovery.refuse(4);
+    discovery.set(news);
+    let told = Instant::now() + Duration::from_secs(6);
+    wait_by(told, "the call after the one that is answered", || discovery.calls() >= 7);
+    let asked = discovery.asked();
+    // A call that waits for news may be silent, and a node whose last call failed has no time for that.
+    assert!(asked[2..6].iter().all(|call| call.contains("after=1&wait_ms=0 ")), "{asked:?}");
+    assert!(asked[6].contains("after=2&wait_ms=60000 "), "no watch: {asked:?}");
+    leaves_alone(&node, &leaving, &staying);
+}
+
+#[test]
+fn a_call_beside_a_silent_watch_that_is_refused_is_made_again_before_its_news_counts() {
+    let (discovery, news, node, [leaving, staying]) = asks_with_two_backends();
+    discovery.silent(true);
+    wait_by(Instant::now() + 3 * PATIENCE, "a call beside the watch", || discovery.calls() >= 3);
+    discovery.set(news);
+    let told = Instant::now() + Duration::from_secs(6);
+    // That call and the next are refused; the watch stays silent.
+    discovery.refuse_calls_beside(2);
+    wait_by(told, "the watch after the call that is answered", || discovery.calls() >= 6);
+    leaves_alone(&node, &leaving, &staying);
+}
+
 #[test]
 fn a_watch_is_not_given_up_before_the_next_has_its_connection() {
     let record = Record::default();
--- a/tests/node_reload.rs
+++ b/tests/node_reload.rs
@@ -76,8 +76,5 @@
     let asked = second.asked();
     assert!(asked[3].contains("after=1&wait_ms=0 "), "all of the list, or a wait for news: {}", asked[3]);
     assert!(asked[4].contains("after=2&wait_ms=60000 "), "no watch: {}", asked[4]);
-    for _ in 0..20 {
-        assert_eq!(ask(node.address, &request("bid", 900)).status(), 200);
-    }
-    assert_eq!((leaving.count(), staying.count()), (0, 20));
+    leaves_alone(&node, &leaving, &staying);
 }
