End a request whose client has left behind bytes that are not read yet

A pipelined byte hid the close: a second attempt began half a second after it, the request behind it was sent on, and an attempt whose connection came up late was written. At fault: Server::ask waited for the answer alone. Ruled out: the module's on_left, and the look at request and server after each handshake, which both act at once when they are told.

Now Socket::left, the poller's word on the end of the other side's sending, ends the wait.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -14,10 +14,10 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -57,6 +57,11 @@
 /// A head that has not come so long before the end of the process is not waited for.
 const LAST_HEADS: Duration = Duration::from_millis(400);
 
+/// The client has left: there is nobody to answer.
+#[derive(Debug, Error)]
+#[error("the client has left")]
+struct Left;
+
 /// One client connection.
 struct Client {
     socket: Socket,
@@ -411,14 +416,14 @@
                     self.turn_away(BOTH_FRAMINGS);
                     farewell(StatusCode::BAD_REQUEST, BOTH_FRAMINGS)
                 } else {
-                    self.respond(request).await
+                    self.respond(request, &client.socket).await?
                 };
                 client.taking.set(response.body().passes());
                 if response.body().passes() {
                     client.socket.hold_little();
                 }
                 response.body_mut().hold(busy);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Left>(response)
             }
         });
         let mut connection = pin!(
@@ -428,8 +433,8 @@
         let mut idle = false;
         loop {
             tokio::select! {
-                // Errors are the client's, gone or not speaking the protocol and told so, or of a body that broke
-                // off: then the end of the connection must not look like the body's.
+                // Errors are the client's, not speaking the protocol and told so, or of a client that has left or a
+                // body that broke off: then the end of the connection must not look like the body's.
                 end = connection.as_mut() => match end {
                     Err(e) if e.is_user() => return client.socket.reset(),
                     _ => break,
@@ -471,13 +476,13 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Own {
+    async fn respond(&self, request: Request<Incoming>, client: &Socket) -> Result<Own, Left> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
             match self.reader.read(arrived, head, body).await {
-                Ok(reading) => self.ask(reading).await,
+                Ok(reading) => self.ask(reading, client).await?,
                 Err(why) => {
                     self.turn_away(why.text());
                     why.answer()
@@ -493,7 +498,7 @@
         if self.leaving() || self.crowded() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        Ok(response)
     }
 
     /// Counts what no backend heard of, and says so now and then.
@@ -516,13 +521,20 @@
         stay > self.descriptors.limit() / KEPT_PART
     }
 
-    async fn ask(&self, Reading { asked, call, deadline, expires, id }: Reading) -> Own {
+    /// Has a request answered for as long as its client is there. hyper looks for a client's end only where nothing
+    /// else is to be read: behind a further request it would show after the answer to this one.
+    async fn ask(&self, reading: Reading, client: &Socket) -> Result<Own, Left> {
         if self.driver.open() >= self.open_cap {
-            return full();
+            return Ok(full());
+        }
+        let Reading { asked, call, deadline, expires, id: _held } = reading;
+        tokio::select! {
+            biased;
+            () = client.left() => Err(Left),
+            answered = async { self.driver.submit(asked, call, deadline, expires).answer().await } => {
+                Ok(answer(answered))
+            }
         }
-        let answered = answer(self.driver.submit(asked, call, deadline, expires).answer().await);
-        drop(id);
-        answered
     }
 }
 
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -256,6 +256,16 @@
         let _ = socket2::SockRef::from(&self.0.stream).set_linger(Some(Duration::ZERO));
     }
 
+    /// Waits until the other side has ended its sending or reset the connection, also where what it sent before that
+    /// is not read yet.
+    pub async fn left(&self) {
+        // What waits to be read does not end a wait for urgent data, and the end of reading does.
+        match self.0.stream.ready(Interest::PRIORITY).await {
+            Ok(ready) if !ready.is_read_closed() => std::future::pending().await,
+            _ => {}
+        }
+    }
+
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -33,6 +33,24 @@
     thread::sleep(Duration::from_millis(50));
 }
 
+/// A listener whose queue holds one connection: none more comes up until that is taken out.
+pub fn one_place() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&loopback(0).into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
+}
+
+/// What comes on the next connection up to its end.
+pub fn told(listener: &Socket) -> String {
+    let mut stream = TcpStream::from(listener.accept().unwrap().0);
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).unwrap();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// A socket that connects, as the system lists it.
 pub const SYN_SENT: &str = "02";
 
@@ -98,6 +116,28 @@
     }
 }
 
+/// Holds answers back until a test opens it.
+#[derive(Debug, Default)]
+pub struct Gate {
+    open: Mutex<bool>,
+    opened: Condvar,
+    said: AtomicU32,
+}
+
+impl Gate {
+    fn wait(&self) {
+        let open = self.open.lock().unwrap();
+        drop(self.opened.wait_while(open, |open| !*open).unwrap());
+    }
+
+    /// Lets the answers out, and waits until `answers` of them are written.
+    pub fn open(&self, answers: u32) {
+        *self.open.lock().unwrap() = true;
+        self.opened.notify_all();
+        wait_for("the answers are written", || self.said.load(Ordering::SeqCst) >= answers);
+    }
+}
+
 /// What a fake backend does with a request.
 #[derive(Clone, Debug)]
 pub enum Act {
@@ -109,6 +149,8 @@
     SayAndCloseLater(Vec<u8>),
     /// Writes this, and the rest so much later.
     SayAndThen(Vec<u8>, Duration, Vec<u8>),
+    /// Writes this once the gate is open.
+    SayWhenOpen(Arc<Gate>, Vec<u8>),
     /// Keeps the connection open and says nothing.
     Silent,
 }
@@ -204,6 +246,11 @@
                             thread::sleep(wait);
                             let _ = stream.write_all(&rest);
                         }
+                        Act::SayWhenOpen(gate, bytes) => {
+                            gate.wait();
+                            let _ = stream.write_all(&bytes);
+                            gate.said.fetch_add(1, Ordering::SeqCst);
+                        }
                         Act::Silent => {}
                     }
                 }
@@ -454,6 +501,16 @@
         self.reload_text(&self.config.to_string());
     }
 
+    /// The same while the node stands still, and has it meet the notice to stop in the same turn.
+    pub fn reload_when_frozen(&mut self, discovery: SocketAddr) {
+        self.config["discovery"] = discovery.to_string().into();
+        std::fs::write(&self.file, self.config.to_string()).unwrap();
+        self.frozen(|| {
+            self.signal("-HUP");
+            self.terminate();
+        });
+    }
+
     /// The same with any text.
     pub fn reload_text(&self, text: &str) {
         std::fs::write(&self.file, text).unwrap();
@@ -483,6 +540,17 @@
         fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
     }
 
+    /// Does something while the node stands still, so that it meets all of it in one turn.
+    pub fn frozen<T>(&self, act: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.pid());
+        let state = || std::fs::read_to_string(&stat).unwrap().rsplit(") ").next().unwrap().chars().next();
+        wait_for("the node stands still", || state() == Some('T'));
+        let done = act();
+        self.signal("-CONT");
+        done
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -3,8 +3,7 @@
 
 use node::*;
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -215,16 +214,13 @@
 fn a_watch_is_not_given_up_before_the_next_has_its_connection() {
     let record = Record::default();
     let addresses = backends(1, &record, |_, _| ok(b"x"));
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&loopback(0).into()).unwrap();
-    socket.listen(0).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let (listener, address) = one_place();
     let known = json!({"rev": 41, "all": true, "targets": all_up(&addresses)});
     let node = Node::start(address, |c| {
         c["settings"]["membershipMode"] = "on_request".into();
         c["known"] = known;
     });
-    let mut watch = std::net::TcpStream::from(socket.accept().unwrap().0);
+    let mut watch = std::net::TcpStream::from(listener.accept().unwrap().0);
     let asked = Message::read(&mut BufReader::new(watch.try_clone().unwrap())).unwrap();
     assert!(asked.first_line.contains("after=41&wait_ms="), "{}", asked.first_line);
     // From now on no connection comes up.
@@ -258,11 +254,7 @@
 
 #[test]
 fn a_drain_told_during_the_handshake_stops_the_send() {
-    // A listener whose queue is full lets no connection come up until one is taken out.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&loopback(0).into()).unwrap();
-    socket.listen(0).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let (listener, address) = one_place();
     let filler = Client::connect(address);
     let discovery = Discovery::start(all_up(&[address]));
     let node =
@@ -273,14 +265,10 @@
     discovery.set(vec![target("s-0", address, "draining")]);
     wait_for("the drain is known", || node.up() == 503);
     // Take the filler out: the handshake can be completed now.
-    let (first, _) = socket.accept().unwrap();
+    let (first, _) = listener.accept().unwrap();
     drop((first, filler));
-    let (mut second, _) = socket.accept().unwrap();
-    let mut bytes = Vec::new();
-    second.set_read_timeout(Some(PATIENCE)).unwrap();
-    // The node closes it without a word; the rest of the fillers' bytes are none.
-    second.read_to_end(&mut bytes).unwrap();
-    assert!(bytes.is_empty(), "sent to a draining backend: {:?}", String::from_utf8_lossy(&bytes));
+    // The node closes it without a word.
+    assert_eq!(told(&listener), "", "sent to a draining backend");
     assert_eq!(client.answer().unwrap().status(), 503);
 }
 
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -189,6 +189,75 @@
     assert_eq!(record.count(), 1);
 }
 
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    Closes,
+    Resets,
+    EndsItsSending,
+}
+
+fn leave(client: Client, how: Leave) -> Option<Client> {
+    let socket = socket2::SockRef::from(&client.stream);
+    match how {
+        Leave::Closes => {}
+        Leave::Resets => socket.set_linger(Some(Duration::ZERO)).unwrap(),
+        Leave::EndsItsSending => {
+            socket.shutdown(std::net::Shutdown::Write).unwrap();
+            return Some(client);
+        }
+    }
+    None
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_has_left_whatever_it_sent_behind_its_request() {
+    for how in [Leave::Closes, Leave::Resets, Leave::EndsItsSending] {
+        // The first attempt fails half a second after it came: a second would be made elsewhere.
+        let record = Record::default();
+        let late = || Act::SayAndThen(Vec::new(), Duration::from_millis(500), reply("500 Late", "", b""));
+        let addresses = backends(3, &record, move |_, _| late());
+        let discovery = Discovery::start(all_up(&addresses));
+        let node = Node::start(discovery.address, |_| {});
+        let mut client = Client::connect(node.address);
+        assert!(client.send(&request("page", 4000)));
+        wait_for("the first attempt is out", || record.count() == 1);
+        // Read behind that, and none of it as the client's end.
+        assert!(client.send(&request("page", 4000)));
+        let half = leave(client, how);
+        wait_for("the attempt is called off", || record.open_now() == 0);
+        // Another's request shows that all is handled that came before.
+        let other = ask(node.address, &request("bid", 900));
+        assert_eq!(other.status(), 502, "{how:?}");
+        assert_eq!(record.count(), 2, "{how:?}: the first attempt and the other client's");
+        drop(half);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_attempt_waits_for_a_connection_is_not_sent_on() {
+    let (listener, address) = one_place();
+    let filler = Client::connect(address);
+    let discovery = Discovery::start(all_up(&[address]));
+    let node = Node::start(discovery.address, |c| {
+        c["settings"]["limits"]["connectTimeoutMs"] = 5000.into();
+        c["settings"]["limits"]["mayCancel"] = false.into();
+    });
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&request("page", 4000)));
+    wait_for("a handshake is under way", || tcp_state(address, SYN_SENT));
+    // Pipelined bytes hide the close from who reads no further.
+    assert!(client.send(&request("page", 4000)));
+    drop(client);
+    // The node has looked at its clients since.
+    for _ in 0..20 {
+        assert_eq!(node.up(), 200);
+    }
+    let (first, _) = listener.accept().unwrap();
+    drop((first, filler));
+    assert_eq!(told(&listener), "", "sent on for one that has left");
+}
+
 #[test]
 fn kept_connections_are_used_only_up_to_the_age_at_which_they_prove_good() {
     // Backends that drop what has been idle for a while, and say so only by a reset under the next request.
