Take the answer that is there when the attempt's time ends

Seen on loopback, six of six tries: a node that stood still over the end of an attempt's time, with the answer waiting in its socket, failed the request (502, at_most_once) though its client waited for 400 ms more. At fault: Upstream::attempt, whose select chose by chance and, where the poller had not been asked since, by the timer. Ruled out: the module, which was told TimedOut; the client's own time.

Now the answer goes first, and bytes that the system holds when time is up get one more turn to be read.

--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -92,6 +92,7 @@
             tokio::time::sleep_until((self.expires + late.unwrap_or_default()).into()).await;
         };
         tokio::select! {
+            biased;
             answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
             () = expired => Answer::Failed,
         }
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -45,6 +45,8 @@
 const STALL: Duration = Duration::from_millis(200);
 /// One of unknown length is passed on from then on: it may be a long one.
 const BODY_TIME: Duration = Duration::from_millis(100);
+/// In which what the system holds is surely read.
+const NEXT_TURN: Duration = Duration::from_millis(1);
 /// A long body on which nothing moves for so long is given up. Backends stand still for half a second at times.
 const LONG_STALL: Duration = Duration::from_secs(5);
 
@@ -799,9 +801,18 @@
         let (written, read) = (conn.socket.written(), conn.socket.read());
         let left = errand.until.saturating_duration_since(Instant::now());
         let request = errand.call.request(errand.address, left);
+        let socket = conn.socket.clone();
+        let overdue = async {
+            errand.overdue().await;
+            // What the system has by then was in time, however late this node has its turn: it is read in the next.
+            if !socket.quiet() {
+                tokio::time::sleep(NEXT_TURN).await;
+            }
+        };
         let answer = tokio::select! {
+            biased;
             answer = conn.answer(request) => Some(answer),
-            () = errand.overdue() => None,
+            () = overdue => None,
             () = errand.stalled() => None,
         };
         // Silence tells nothing of the connection.
--- a/tests/node_crossings.rs
+++ b/tests/node_crossings.rs
@@ -5,6 +5,8 @@
 use serde_json::json;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
+use std::thread;
+use std::time::Duration;
 
 /// A node before `count` backends that act by `script`.
 fn start(
@@ -142,6 +144,25 @@
     assert_eq!(client.answer().map(|m| m.status()), Some(200));
 }
 
+#[test]
+fn an_answer_that_is_there_as_its_time_ends_is_given() {
+    for _ in 0..6 {
+        let gate = Arc::new(Gate::default());
+        let held = gate.clone();
+        let (node, record, _discovery) =
+            start(1, move |_, _| Act::SayWhenOpen(held.clone(), reply("200 OK", "", b"x")));
+        let mut client = Client::connect(node.address);
+        // The attempt's time is that of the aim, 500 ms; the client waits for longer.
+        assert!(client.send(&request("bid", 900)));
+        wait_for("it is out", || record.count() == 1);
+        node.frozen(|| {
+            gate.open(1);
+            thread::sleep(Duration::from_millis(550));
+        });
+        assert_eq!(client.answer().map(|m| m.status()), Some(200), "the answer was thrown away");
+    }
+}
+
 #[test]
 fn a_close_and_the_failure_of_an_attempt_at_one_moment_start_no_other() {
     let gate = Arc::new(Gate::default());
