--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -166,6 +166,23 @@
     wait_for("the list is there", || node.up() == 200);
 }
 
+#[test]
+fn a_process_without_a_list_is_ready_in_time_though_discovery_refuses_and_is_silent() {
+    let record = Record::default();
+    let discovery = Discovery::start(all_up(&backends(1, &record, |_, _| ok(b"x"))));
+    discovery.refuse(4);
+    discovery.silent(true);
+    let begun = Instant::now();
+    let many = |c: &mut Value| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["settings"]["instances"] = 300.into();
+    };
+    let node = Node::launch(discovery.address, many, "exec \"$0\"");
+    wait_for("a call that gets no answer is made again", || discovery.calls() >= 2);
+    discovery.silent(false);
+    wait_by(begun + Duration::from_secs(10), "/up is 200", || node.up() == 200);
+}
+
 /// A node of many that asks for its list of a discovery with two backends, one of which is about to leave.
 fn asks_with_two_backends() -> (Discovery, Vec<Value>, Node, [Record; 2]) {
     let records = [Record::default(), Record::default()];
