Take who waits in the backlog before a node that is told to stop closes it

Seen on loopback: a node that stood still for 1.7 s from its notice on lost the eight requests that had come 0.2 s after it. At fault: Server::accept, whose select chose by chance between its end and who waited. Ruled out: connections it had, which ask the system before they close.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,5 +1,6 @@
 //! The client side: connections, what they ask, and the answers they get.
 
+use crate::BACKLOG;
 use crate::driver::{Answer, Driver};
 use crate::log;
 use crate::request::{Own, Reader, Reading, farewell, full, plain};
@@ -51,6 +52,8 @@
 const QUIET: Duration = Duration::from_millis(150);
 /// But so long at most: SIGKILL would find unanswered what is taken later.
 const ACCEPT_END: Duration = Duration::from_millis(1500);
+/// In which the system says whether another connection waits.
+const LAST_LOOK: Duration = Duration::from_millis(5);
 /// A drained node leaves so much time to requests that are on their way on connections it has answered on.
 const LEAVE: Duration = Duration::from_millis(1000);
 const LEAVE_TURN: Duration = Duration::from_millis(100);
@@ -292,6 +295,7 @@
     /// Takes connections until told to stop, and then for as long as they still come.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
         let mut last = Instant::now();
+        let mut last_looks = BACKLOG;
         loop {
             if self.succeeded.get() {
                 return;
@@ -306,7 +310,14 @@
             };
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = quiet => return,
+                // Who came while this node had no turn waits in the backlog, and no more than that holds.
+                () = quiet => match tokio::time::timeout(LAST_LOOK, listener.accept()).await {
+                    Ok(accepted) if last_looks > 0 => {
+                        last_looks -= 1;
+                        accepted
+                    }
+                    _ => return,
+                },
                 () = self.stop.notified() => continue,
             };
             match accepted {
--- a/tests/node_crossings.rs
+++ b/tests/node_crossings.rs
@@ -63,6 +63,32 @@
     ends(node);
 }
 
+#[test]
+fn who_connects_while_a_node_that_is_told_to_stop_has_no_turn_is_answered() {
+    for _ in 0..4 {
+        let (node, _record, _discovery) = start(1, |_, _| ok(b"x"));
+        node.terminate();
+        // From its notice on every answer closes its connection.
+        wait_for("it has heard", || {
+            let up = Client::connect(node.address).ask(b"GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
+            up.header("connection") == Some("close")
+        });
+        let mut clients = node.frozen(|| {
+            let mut clients: Vec<Client> = (0..8).map(|_| Client::connect(node.address)).collect();
+            for client in &mut clients {
+                assert!(client.send(&request("bid", 900)));
+            }
+            // Longer than new connections are waited for.
+            thread::sleep(Duration::from_millis(1700));
+            clients
+        });
+        let statuses: Vec<u16> =
+            clients.iter_mut().filter_map(|c| c.answer()).map(|m| m.status()).collect();
+        assert_eq!(statuses, [200; 8]);
+        ends(node);
+    }
+}
+
 #[test]
 fn a_request_of_which_half_is_read_at_the_notice_to_stop_is_answered() {
     // Cut in the head and in the body.
