--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,7 +29,7 @@
     prat: f64,
     /// Trials failed in a row.
     failed_trials: u32,
-    trial_out: bool,
+    trial_pending: bool,
     /// One of those found nobody there: the process may have ended, and a new one is cold.
     away: bool,
 }
@@ -57,7 +57,7 @@
     }
 
     fn trial_due(&self, now: f64) -> bool {
-        self.congested && !self.trial_out && now >= self.prat
+        self.congested && !self.trial_pending && now >= self.prat
     }
 
     fn revive(&mut self) {
@@ -77,19 +77,19 @@
 }
 
 impl Cap {
-    /// Growth for an answer without strain; what strain takes away balances it at the strain aimed for.
+    /// Growth for an answer without overload; what overload takes away balances it at the overload aimed for.
     const STEP: f64 = 0.1;
 
     fn blocks(&self, now: f64, in_flight: u32) -> bool {
         f64::from(in_flight) + 1.0 > self.limit.max(1.0) || now < self.free_at
     }
 
-    /// Learns from one outcome's strain, 0 for well within the aim to 1 for late.
-    fn learn(&mut self, now: f64, elapsed: f64, in_flight: u32, strain: f64, shrink: f64, floor: f64) {
-        let step = Cap::STEP * self.limit.min(1.0) * (1.0 - strain / TARGET_STRAIN);
+    /// Learns from one outcome's overload, 0 for well within the aim to 1 for late.
+    fn learn(&mut self, now: f64, elapsed: f64, in_flight: u32, overload: f64, shrink: f64, floor: f64) {
+        let step = Cap::STEP * self.limit.min(1.0) * (1.0 - overload / TARGET_OVERLOAD);
         if step < 0.0 && now - elapsed >= self.cut_at {
-            // Room that was not in use when strain showed is no room: part of it goes at once, the more the
-            // more the fleet is strained. One late answer in easy times takes next to nothing.
+            // Room that was not in use when overload showed is no room: part of it goes at once, the more the
+            // more the fleet is overloaded. One late answer in easy times takes next to nothing.
             let idle = (self.limit - f64::from(in_flight) - 1.0).max(0.0);
             self.limit = (self.limit + step - shrink * idle).max(floor.min(self.limit));
             self.lost -= step;
@@ -97,7 +97,7 @@
                 (self.cut_at, self.lost) = (now, 0.0);
             }
         } else if step > 0.0 && f64::from(in_flight) + 1.0 >= self.limit / 2.0 {
-            // Until strain first shows, doubling: a small start must not last.
+            // Until overload first shows, doubling: a small start must not last.
             self.limit += if self.cut_at == 0.0 { step * 5.0 } else { step };
         }
         if self.limit < 1.0 {
@@ -280,8 +280,8 @@
     seen: f64,
     /// Mean of what this node has in flight, over a second or so.
     held: f64,
-    /// Share of strain in recent outcomes.
-    strain: f64,
+    /// Share of overload in recent outcomes.
+    overload: f64,
     /// Offered work by class, in time and too old for its aim.
     offered: Vec<[f64; 2]>,
     /// Chance of being let in.
@@ -308,7 +308,7 @@
     cell: u32,
     sent: f64,
     timeout: f64,
-    out: bool,
+    pending: bool,
     never_ran: bool,
     trial: bool,
 }
@@ -324,8 +324,8 @@
 }
 
 impl Open {
-    fn is_out(&self) -> bool {
-        self.attempts.iter().any(|a| a.out)
+    fn is_pending(&self) -> bool {
+        self.attempts.iter().any(|a| a.pending)
     }
 }
 
@@ -337,7 +337,7 @@
     backends: Vec<Backend>,
     /// Until when the operators have backends out of service: for good, or the moment they put one back, kept
     /// while it is cold.
-    out: BTreeMap<BackendId, f64>,
+    disabled: BTreeMap<BackendId, f64>,
     places: Vec<Place>,
     open: HashMap<RequestId, Open>,
     learned: Vec<Learned>,
@@ -380,7 +380,7 @@
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
             backends: Vec::new(),
-            out: BTreeMap::new(),
+            disabled: BTreeMap::new(),
             places: Vec::new(),
             open: HashMap::new(),
             learned: vec![Learned::default(); classes],
@@ -425,7 +425,7 @@
             Event::Timer(TICK) => self.on_tick(now, out),
             Event::Timer(ASK) => out.push(Action::Watch(true)),
             Event::Disable(id) => {
-                self.out.insert(id, f64::INFINITY);
+                self.disabled.insert(id, f64::INFINITY);
                 self.place(now);
                 out.push(Action::Release(id));
             }
@@ -477,8 +477,8 @@
         let live = self.backends.iter().filter(|b| b.up && !b.record.congested).count();
         let text = format!(
             "refused: {too_late} too late, {shed} shed, {crowded} crowded, {blocked} with every way blocked; \
-             {live} of {up} live, level {:.2}, strain {:.2}",
-            self.admission.level, self.admission.strain
+             {live} of {up} live, level {:.2}, overload {:.2}",
+            self.admission.level, self.admission.overload
         );
         out.push(Action::Log(text));
     }
@@ -503,7 +503,7 @@
 
     fn on_list(&mut self, now: f64, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            // Asked again at a jittered pace that backs off, yet soon enough for its news to be had in time.
+            // Asked again at a jittered pace that backs off, yet soon enough for its updates to come in time.
             self.ask_failures = (self.ask_failures + 1).min(5);
             let wait = self.tick_span().max(self.call_span() / 2.0) * f64::from(1_u32 << self.ask_failures);
             let wait = wait.min(ASK_PAUSE_MS).min(self.s.must_ask_in_ms / 2.0);
@@ -519,7 +519,7 @@
         // What a whole list does not name is not there.
         self.backends.iter_mut().for_each(|b| b.listed &= kind == ListKind::Changes);
         for e in entries {
-            let back = self.out.get(&e.backend).copied().filter(|until| until.is_finite());
+            let back = self.disabled.get(&e.backend).copied().filter(|until| until.is_finite());
             let told = Some(e.ready_at_ms).filter(|at| at.is_finite() && *at > 0.0);
             let ready = back.into_iter().chain(told).fold(f64::NEG_INFINITY, f64::max);
             let found = self.backends.binary_search_by_key(&e.backend, |b| b.id);
@@ -550,7 +550,7 @@
 
     /// The operators put a backend back: it was restarted meanwhile, whatever the list says of its start.
     fn on_enable(&mut self, now: f64, id: BackendId) {
-        let Some(until) = self.out.get_mut(&id).filter(|until| until.is_infinite()) else { return };
+        let Some(until) = self.disabled.get_mut(&id).filter(|until| until.is_infinite()) else { return };
         *until = now;
         if let Some(i) = self.find(id) {
             self.renew(now, i);
@@ -601,8 +601,8 @@
     }
 
     /// Who is out of service by a call of the operators.
-    pub fn out(&self) -> impl Iterator<Item = BackendId> {
-        self.out.iter().filter(|(_, until)| until.is_infinite()).map(|(id, _)| *id)
+    pub fn disabled(&self) -> impl Iterator<Item = BackendId> {
+        self.disabled.iter().filter(|(_, until)| until.is_infinite()).map(|(id, _)| *id)
     }
 
     /// May be sent to, as far as the list and the operators go.
@@ -612,9 +612,9 @@
 
     /// Notes who is in service, and rebuilds the table that keyed candidates are looked up in.
     fn place(&mut self, now: f64) {
-        self.out.retain(|_, until| now - *until < self.s.cold_ms);
+        self.disabled.retain(|_, until| now - *until < self.s.cold_ms);
         for b in &mut self.backends {
-            b.up = b.listed && !self.out.get(&b.id).is_some_and(|until| until.is_infinite());
+            b.up = b.listed && !self.disabled.get(&b.id).is_some_and(|until| until.is_infinite());
         }
         let far = |b: &Backend| self.s.zone.is_some_and(|z| z != b.zone) && self.s.prices.cross_zone > 0.0;
         let few = if self.many() { 0.0 } else { 1.0 / self.warm_rate.max(1.0) };
@@ -679,31 +679,31 @@
         let keep = (-seconds / 2.0_f64).exp();
         let a = &mut self.admission;
         // Few outcomes are little evidence: without this, a node that admits next to nothing would hold
-        // on to the strain that made it so.
-        a.strain = a.bad / (a.good + a.bad).max(1e-9) * a.seen / (a.seen + 2.0);
+        // on to the overload that made it so.
+        a.overload = a.bad / (a.good + a.bad).max(1e-9) * a.seen / (a.seen + 2.0);
         // Where all nodes together hold few requests a backend, what is late or lost is so by a fault, which
-        // closing does not mend: strain counts as far as two are held. It hurts where two are too many.
+        // closing does not mend: overload counts as far as two are held. It hurts where two are too many.
         a.held += (1.0 - (-seconds).exp()) * (f64::from(self.in_flight) - a.held);
         let each = a.held * f64::from(self.s.instances.max(1)) / self.places.len().max(1) as f64;
-        a.strain *= (each / 2.0).min(1.0);
+        a.overload *= (each / 2.0).min(1.0);
         // Reports show the fleet filling up before answers come late; some backends that are crowded for a
         // second or two slow down for long. Where a full fleet still answers well within the aim, that much
-        // is learned to be no strain.
-        if self.pressure > self.full_at && a.strain < TARGET_STRAIN {
+        // is learned to be no overload.
+        if self.pressure > self.full_at && a.overload < TARGET_OVERLOAD {
             self.full_at += 0.03 * seconds;
-        } else if a.strain > 2.0 * TARGET_STRAIN {
+        } else if a.overload > 2.0 * TARGET_OVERLOAD {
             self.full_at -= 0.03 * seconds;
         }
         self.full_at = self.full_at.clamp(FILLING, 1.0);
         let filling = (self.pressure - self.full_at) / (1.0 - FILLING);
-        a.strain = a.strain.max(filling.clamp(0.0, 1.0));
-        if a.strain > TARGET_STRAIN {
-            a.level *= 1.0 - seconds * 2.0 * (a.strain - TARGET_STRAIN);
+        a.overload = a.overload.max(filling.clamp(0.0, 1.0));
+        if a.overload > TARGET_OVERLOAD {
+            a.level *= 1.0 - seconds * 2.0 * (a.overload - TARGET_OVERLOAD);
         } else {
-            a.level += seconds * (0.05 + 0.5 * a.level) * (1.0 - a.strain / TARGET_STRAIN);
+            a.level += seconds * (0.05 + 0.5 * a.level) * (1.0 - a.overload / TARGET_OVERLOAD);
         }
         a.level = a.level.clamp(0.02, 1.0);
-        if a.crowded && a.strain < TARGET_STRAIN {
+        if a.crowded && a.overload < TARGET_OVERLOAD {
             a.room *= 1.0 + 0.2 * seconds;
         }
         a.crowded = false;
@@ -846,7 +846,7 @@
                 same && now < a.sent + class.map_or(0.0, |c: &Class| c.key_ttl_ms)
             }
         };
-        let copies_kept = self.s.second_copies || !open.is_out();
+        let copies_kept = self.s.second_copies || !open.is_pending();
         let cold_kept = now - b.cold_since >= self.s.cold_ms || self.cold_left(now, index) >= 1.0;
         !open.finished
             && now < open.request.deadline_ms
@@ -951,18 +951,18 @@
         b.in_flight += 1;
         self.in_flight += 1;
         let trial = b.record.congested;
-        b.record.trial_out |= trial;
+        b.record.trial_pending |= trial;
         (b.cold_tokens, b.cold_at) = (left - 1.0, now);
         let (backend, zone, cell) = (b.id, b.zone, b.cell);
         let attempt =
-            Attempt { backend, zone, cell, sent: now, timeout, out: true, never_ran: false, trial };
+            Attempt { backend, zone, cell, sent: now, timeout, pending: true, never_ran: false, trial };
         open.attempts.push(attempt);
         out.push(Action::Send { id, backend, timeout_ms: timeout });
     }
 
     /// The gate of every refusal: refused where that promise holds, failed where it does not.
     fn answer(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id).filter(|o| !o.finished && !o.is_out()) else { return };
+        let Some(open) = self.open.get(&id).filter(|o| !o.finished && !o.is_pending()) else { return };
         let effect = self.s.classes.get(open.request.class).map_or(Effect::Unsafe, |c| c.effect);
         let none_ran = open.attempts.iter().all(|a| a.never_ran);
         let harmless = none_ran || matches!(effect, Effect::Safe | Effect::Keyed(Group::All));
@@ -1001,11 +1001,11 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         open.finished = true;
         if self.s.may_cancel {
-            for (n, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.out) {
+            for (n, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.pending) {
                 out.push(Action::Cancel { id, attempt: n as u32 });
             }
         }
-        if !open.is_out() {
+        if !open.is_pending() {
             self.open.remove(&id);
         }
     }
@@ -1020,10 +1020,10 @@
         out: &mut Vec<Action>,
     ) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
+        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.pending) else { return };
         // A time that is no number must not spoil what is learned.
         let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { (now - a.sent).max(0.0) };
-        a.out = false;
+        a.pending = false;
         self.in_flight = self.in_flight.saturating_sub(1);
         a.never_ran = never_ran(outcome);
         open.finished |= last;
@@ -1055,7 +1055,7 @@
                 // Any answer at all shows that it can be reached; called off says nothing.
                 let answered = matches!(outcome, Outcome::Done | Outcome::Error | Outcome::Full);
                 match outcome {
-                    Outcome::Cancelled | Outcome::Skipped => self.backends[i].record.trial_out = false,
+                    Outcome::Cancelled | Outcome::Skipped => self.backends[i].record.trial_pending = false,
                     _ => self.trial_over(now, i, answered, outcome == Outcome::NotConnected, out),
                 }
             } else if !own_stall {
@@ -1065,7 +1065,7 @@
         if let Some(l) = self.learned.get_mut(class).filter(|_| in_aim) {
             l.served += 1.0;
         }
-        let Some(open) = self.open.get(&id).filter(|o| !o.is_out()) else { return };
+        let Some(open) = self.open.get(&id).filter(|o| !o.is_pending()) else { return };
         if open.finished {
             self.open.remove(&id);
             return;
@@ -1154,7 +1154,7 @@
         if hurried && outcome == Outcome::TimedOut {
             return;
         }
-        let strain = match outcome {
+        let overload = match outcome {
             Outcome::Done if in_aim => {
                 // Strain starts half-way, as ratios go, from the class's usual time to its aim: holding
                 // more in flight than that serves nobody sooner, long before the aim itself is missed.
@@ -1169,8 +1169,8 @@
         // A full or unreachable backend is its own matter; the request goes elsewhere.
         let own = matches!(outcome, Outcome::Full | Outcome::NotConnected | Outcome::Reset);
         if !own && !b.record.congested {
-            self.admission.good += worth * (1.0 - strain);
-            self.admission.bad += worth * strain;
+            self.admission.good += worth * (1.0 - overload);
+            self.admission.bad += worth * overload;
             self.admission.seen += 1.0;
         }
         // Caps tell backends apart: what the whole fleet suffers is admission's matter.
@@ -1179,10 +1179,10 @@
         // hurts where two at once are too many for a backend.
         let least = if outcome == Outcome::Full { 2.0 } else { 0.5 };
         let floor = least / f64::from(self.s.instances.max(1));
-        let fleet = self.admission.strain;
-        let shrink = 0.5 * strain * (2.0 * fleet / TARGET_STRAIN).min(1.0);
+        let fleet = self.admission.overload;
+        let shrink = 0.5 * overload * (2.0 * fleet / TARGET_OVERLOAD).min(1.0);
         if outcome != Outcome::Reset {
-            b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
+            b.cap.learn(now, elapsed, b.in_flight, overload * (1.0 - fleet), shrink, floor);
         }
         self.fleet_failing += 0.02 * (f64::from(u8::from(failed)) - self.fleet_failing);
         if failed || outcome == Outcome::Done {
@@ -1214,7 +1214,7 @@
         let failed_trials = self.backends[i].record.failed_trials;
         let t = self.pause(failed_trials + 1);
         let b = &mut self.backends[i];
-        b.record.trial_out = false;
+        b.record.trial_pending = false;
         if !success {
             b.record.failed_trials += 1;
             b.record.away |= away;
@@ -1246,7 +1246,7 @@
 }
 
 /// Strain that the learned cap and admission settle at.
-const TARGET_STRAIN: f64 = 0.2;
+const TARGET_OVERLOAD: f64 = 0.2;
 
 /// The cap of a backend that nothing is known of: two, or eight over all nodes where they are few; where they
 /// are many, their share of 32, lest all of them together flood it before any has learned.
@@ -1256,14 +1256,14 @@
 }
 /// What one call to discovery is held to take it, in milliseconds.
 const CALL_MS: f64 = 40.0;
-/// The longest pause after a failed call to discovery, in milliseconds: its news counts as told 6 s after it could
-/// be had, which must do for two such pauses and two calls that wait their turn there, 2 s at the most.
+/// The longest pause after a failed call to discovery, in milliseconds: its updates count as told 6 s after it
+/// could be had, which must do for two such pauses and two calls that wait their turn there, 2 s at the most.
 const ASK_PAUSE_MS: f64 = 900.0;
 /// Time between two trials of one backend, over all nodes, in milliseconds.
 const TRIAL_MS: f64 = 100.0;
 /// Share of failures from which a class is held to be at fault at a backend.
 const FAULTY: f64 = 0.35;
-/// Mean reported pressure from which admission holds it for strain.
+/// Mean reported pressure from which admission holds it for overload.
 const FILLING: f64 = 0.85;
 /// Share of attempts without a connection from which connections are scarce.
 const SCARCE: f64 = 0.15;
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -214,14 +214,14 @@
             Call::Drain => self.server.drain(),
             Call::Resume => self.server.resume(),
         };
-        let (Ok(told) | Err(told)) = answer;
-        log::line(&format!("console: {call:?}: {told}"));
+        let (Ok(text) | Err(text)) = answer;
+        log::line(&format!("console: {call:?}: {text}"));
         answer
     }
 
     /// True if the call changed anything, none for an id that is unknown.
-    fn call(&self, id: &str, out: bool) -> Option<bool> {
-        let changed = self.driver.call(id, out);
+    fn call(&self, id: &str, disable: bool) -> Option<bool> {
+        let changed = self.driver.call(id, disable);
         if let (Some(true), Some(handover)) = (changed, &self.handover) {
             handover.called(&self.driver);
         }
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -17,10 +17,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::error::Elapsed;
 
-/// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
+/// How long a watch may wait for an update. Pushed lists cost nothing to ask for, and a short wait soon shows an
 /// agent that has fallen silent.
 const PUSHED_WAIT: Duration = Duration::from_secs(2);
-/// Where it is asked, as long as the protocol allows: news that a silent watch misses counts as told 2 s after its
+/// Where it is asked, as long as the protocol allows: an update that a silent watch misses counts as told 2 s after its
 /// wait, and from silence alone nobody can tell that there is none.
 const ASKED_WAIT: Duration = Duration::from_secs(60);
 /// So beside a watch that brings nothing it is asked what changed, this often at the least, with no wait, and at the
@@ -30,7 +30,7 @@
 const LOOKS: u32 = 2;
 /// After a call beside a watch that failed, the next comes after this part of that: about half a second.
 const LOOKED_AGAIN: u32 = 32;
-/// Part of that by which nodes differ, so that news to all of them does not have all of them call at once later.
+/// Part of that by which nodes differ, so that an update to all of them does not have all of them call at once later.
 const SPREAD: f64 = 0.25;
 /// What an answer may take beyond the wait. A call waits its turn at the one service of all nodes, which fails it after
 /// 2 s; more time would have what a silent call misses count as told before the next is answered. An agent answers
@@ -51,7 +51,7 @@
 const MOVED_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
 const PAUSE: Duration = Duration::from_millis(150);
-/// A watch without news that took less than this has not waited.
+/// A watch without an update that took less than this has not waited.
 const HASTY: Duration = Duration::from_millis(50);
 
 /// An answer of discovery, or the list that a node starts with.
@@ -175,10 +175,10 @@
         let mut failed = 0_u32;
         // Since the last answer a call without one was made again at once.
         let mut repeated = false;
-        // The next call must not wait for news: whether there is any is to be known soon.
+        // The next call must not wait for an update: whether there is any is to be known soon.
         let mut check = self.behind;
         // Until when what discovery has is to be known after a new configuration.
-        let mut owed = Instant::now();
+        let mut due_by = Instant::now();
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
                 wanted = wish;
@@ -190,7 +190,7 @@
                 // it in time.
                 rev = rev.filter(|_| self.mode == Discovery::OnRequest);
                 (at, conn, wanted, check) = (now_at, None, true, true);
-                owed = Instant::now() + MOVED;
+                due_by = Instant::now() + MOVED;
             }
             if !wanted {
                 tokio::select! {
@@ -217,7 +217,7 @@
                         log::line(&format!("discovery: answers again after {failed} failed calls"));
                         failed = 0;
                     }
-                    // The watch is old, and what was asked beside it brought no news.
+                    // The watch is old, and what was asked beside it brought no update.
                     let Some(listing) = answer else {
                         driver.take(Input::List(ListKind::Changes, Vec::new()));
                         continue;
@@ -228,7 +228,7 @@
                     let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
                     rev = if lost { None } else { Some(listing.rev) };
                     self.version.set(rev);
-                    // No change is news too where discovery is asked: the call did not fail.
+                    // No change is an update too where discovery is asked: the call did not fail.
                     if !lost {
                         listing.tell(begun.elapsed());
                         let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
@@ -250,7 +250,7 @@
                         // What it would have said counts as told soon, and silence is no sign of load: an
                         // overbooked service says no.
                         repeated = true;
-                    } else if self.mode == Discovery::OnRequest && Instant::now() < owed {
+                    } else if self.mode == Discovery::OnRequest && Instant::now() < due_by {
                         tokio::time::sleep(MOVED_PAUSE.mul_f64(0.5 + 0.5 * self.rng.f64())).await;
                     } else if self.mode == Discovery::OnRequest {
                         // The decisions pace the calls: each costs the one service of all nodes.
@@ -267,7 +267,7 @@
     }
 
     /// One call: its answer, or none where a watch is to be made anew, on the connection that is then in `conn`. A
-    /// watch is looked after each `watch`; without that, the call does not wait for news.
+    /// watch is looked after each `watch`; without that, the call does not wait for an update.
     async fn call(
         &self,
         at: SocketAddr,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -5,7 +5,7 @@
 
 use crate::log;
 use crate::peers::Peers;
-use crate::upstream::{Call, Conn, End, Errand, Finish, Reply, Upstream};
+use crate::upstream::{Attempt, Call, Conn, End, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
     Action, BackendId, Entry, Event, Health, ListKind, Memory, Outcome, Request, RequestId,
@@ -63,17 +63,17 @@
     Failed,
 }
 
-/// The one answer that is owed. Settling uses it up, so there is no second; dropping it fails the request.
-pub struct Owed(oneshot::Sender<Answer>);
+/// The one answer that each request gets. Responding uses it up, so there is no second; dropping it fails the request.
+pub struct Responder(oneshot::Sender<Answer>);
 
-impl Owed {
-    fn settle(self, answer: Answer) {
+impl Responder {
+    fn respond(self, answer: Answer) {
         // A client that has gone wants none.
         let _ = self.0.send(answer);
     }
 }
 
-/// The client's side of what is owed. Dropped before the answer came, it tells that the client left.
+/// The client's side of a pending answer. Dropped before the answer came, it tells that the client left.
 pub struct Ticket {
     driver: Rc<Driver>,
     id: RequestId,
@@ -121,7 +121,7 @@
     /// News of the list.
     List(ListKind, Vec<Target>),
     /// A client's request.
-    Arrived(Request, Rc<Call>, Owed),
+    Arrived(Request, Rc<Call>, Responder),
     /// The client is gone, or needs nothing any more.
     Left(RequestId),
     /// The last byte of a request's body has come and gone on.
@@ -167,7 +167,7 @@
 }
 
 struct Open {
-    owed: Option<Owed>,
+    responder: Option<Responder>,
     call: Rc<Call>,
     /// What calls each attempt off; none where it is over.
     attempts: Vec<Option<oneshot::Sender<()>>>,
@@ -175,11 +175,11 @@
 
 impl Open {
     fn over(&self) -> bool {
-        self.owed.is_none() && self.attempts.iter().all(Option::is_none)
+        self.responder.is_none() && self.attempts.iter().all(Option::is_none)
     }
 }
 
-struct Place {
+struct Endpoint {
     address: SocketAddr,
     up: bool,
     ready_at_ms: f64,
@@ -188,7 +188,7 @@
 struct Core {
     balancer: Balancer,
     open: HashMap<RequestId, Open>,
-    places: HashMap<BackendId, Place>,
+    endpoints: HashMap<BackendId, Endpoint>,
     /// All that the list names: up or draining.
     listed: HashSet<BackendId>,
 }
@@ -217,7 +217,7 @@
             core: RefCell::new(Core {
                 balancer,
                 open: HashMap::new(),
-                places: HashMap::new(),
+                endpoints: HashMap::new(),
                 listed: HashSet::new(),
             }),
             inbox: RefCell::default(),
@@ -242,9 +242,9 @@
         self.next.set(id.0 + 1);
         request.id = id;
         request.deadline_ms = self.clock.at_ms(deadline);
-        let (owed, answer) = oneshot::channel();
+        let (responder, answer) = oneshot::channel();
         let (call, begun) = (Rc::new(call), Instant::now());
-        self.take(Input::Arrived(request, call.clone(), Owed(owed)));
+        self.take(Input::Arrived(request, call.clone(), Responder(responder)));
         Ticket { driver: self.clone(), id, call, answer, begun, expires }
     }
 
@@ -253,7 +253,7 @@
         self.core.borrow().open.len()
     }
 
-    /// Fails all that is owed, for a node that has no more time.
+    /// Fails all that is pending, for a node that has no more time.
     pub fn end_all(self: &Rc<Self>) {
         let ids: Vec<RequestId> = self.core.borrow().open.keys().copied().collect();
         for id in ids {
@@ -264,25 +264,25 @@
     /// A request could be served.
     pub fn ready(&self) -> bool {
         let core = self.core.borrow();
-        core.places.keys().any(|id| core.stands(*id))
+        core.endpoints.keys().any(|id| core.routable(*id))
     }
 
     /// Takes a backend out of service or puts it back; none for an id that neither the list nor an earlier call
     /// has named. True if that changed anything.
-    pub fn call(self: &Rc<Self>, uid: &str, out: bool) -> Option<bool> {
+    pub fn call(self: &Rc<Self>, uid: &str, disable: bool) -> Option<bool> {
         let id = BackendId(stable_hash(uid));
-        let was_out = {
+        let was_disabled = {
             let core = self.core.borrow();
-            let was_out = core.balancer.out().any(|b| b == id);
-            (was_out || core.listed.contains(&id)).then_some(was_out)?
+            let was_disabled = core.balancer.disabled().any(|b| b == id);
+            (was_disabled || core.listed.contains(&id)).then_some(was_disabled)?
         };
-        self.take(if out { Input::Disable(id) } else { Input::Enable(id) });
-        Some(was_out != out)
+        self.take(if disable { Input::Disable(id) } else { Input::Enable(id) });
+        Some(was_disabled != disable)
     }
 
     /// Who is out of service.
-    pub fn out(&self) -> BTreeSet<BackendId> {
-        self.core.borrow().balancer.out().collect()
+    pub fn disabled(&self) -> BTreeSet<BackendId> {
+        self.core.borrow().balancer.disabled().collect()
     }
 
     /// What the next process has to know.
@@ -314,8 +314,8 @@
                 // Dropping the handle is the call: the attempt closes its connection and reports.
                 drop(off.and_then(|a| a.as_mut()).map(|a| std::mem::replace(a, oneshot::channel().0)));
             }
-            Action::Refuse { id, retry_after_ms } => core.settle(id, Answer::Refused { retry_after_ms }),
-            Action::Fail(id) => core.settle(id, Answer::Failed),
+            Action::Refuse { id, retry_after_ms } => core.respond(id, Answer::Refused { retry_after_ms }),
+            Action::Fail(id) => core.respond(id, Answer::Failed),
             Action::Timer { token, at_ms } => {
                 let driver = self.clone();
                 let due = self.clock.instant(at_ms);
@@ -349,21 +349,21 @@
             finish: Some(Outcome::Reset.into()),
         };
         open.attempts.push(Some(off));
-        let place = core.places.get(&backend);
-        let (Some(_), Some(place), true) = (&open.owed, place, open.call.sendable()) else {
-            let outcome = if place.is_some() { Outcome::Skipped } else { Outcome::NotConnected };
+        let endpoint = core.endpoints.get(&backend);
+        let (Some(_), Some(endpoint), true) = (&open.responder, endpoint, open.call.sendable()) else {
+            let outcome = if endpoint.is_some() { Outcome::Skipped } else { Outcome::NotConnected };
             report.finish = Some(outcome.into());
             return;
         };
         let until = report.begun + Duration::from_secs_f64(timeout_ms.clamp(0.0, 1e9) / 1000.0);
         let begun = report.begun;
-        let errand = Errand { backend, address: place.address, call: open.call.clone(), until, begun };
+        let attempt = Attempt { backend, address: endpoint.address, call: open.call.clone(), until, begun };
         let driver = self.clone();
         spawn_local(async move {
-            let wanted = || driver.stands(id, errand.backend);
-            let mut attempt = pin!(driver.upstream.attempt(&errand, wanted));
+            let wanted = || driver.routable(id, attempt.backend);
+            let mut sent = pin!(driver.upstream.attempt(&attempt, wanted));
             let whole = async {
-                if let Some(at) = errand.call.whole().await {
+                if let Some(at) = attempt.call.whole().await {
                     driver.take(Input::Whole(id));
                     return at;
                 }
@@ -374,16 +374,16 @@
                 tokio::select! {
                     biased;
                     _ = &mut called_off => break End::Over(Outcome::Cancelled.into(), None),
-                    at = &mut whole, if report.begun == errand.begun => report.begun = at,
-                    end = &mut attempt => break end,
+                    at = &mut whole, if report.begun == attempt.begun => report.begun = at,
+                    end = &mut sent => break end,
                 }
             };
             let (finish, conn) = match end {
                 End::Over(finish, conn) => (finish, conn),
-                End::Begun(finish, told) => {
+                End::Begun(finish, ended) => {
                     let elapsed_ms = report.begun.elapsed().as_secs_f64() * 1000.0;
                     driver.take(Input::Begun { id, attempt: number, backend, finish, elapsed_ms });
-                    let (outcome, conn) = told.await.unwrap_or((Outcome::Cancelled, None));
+                    let (outcome, conn) = ended.await.unwrap_or((Outcome::Cancelled, None));
                     if !matches!(outcome, Outcome::Done | Outcome::Cancelled) {
                         log::line(&format!(
                             "{:016x} broke off an answer that had begun: {outcome:?}",
@@ -395,22 +395,23 @@
             };
             report.finish = Some(finish);
             drop(report);
-            driver.keep(errand.backend, errand.address, conn);
+            driver.keep(attempt.backend, attempt.address, conn);
         });
     }
 
     /// Keeps a connection unless its backend has drained, gone or moved meanwhile.
     fn keep(&self, backend: BackendId, address: SocketAddr, conn: Option<Conn>) {
         let core = self.core.borrow();
-        let same = core.stands(backend) && core.places.get(&backend).is_some_and(|p| p.address == address);
+        let same =
+            core.routable(backend) && core.endpoints.get(&backend).is_some_and(|p| p.address == address);
         if let Some(conn) = conn.filter(|_| same) {
             self.upstream.keep(backend, conn);
         }
     }
 
-    fn stands(&self, id: RequestId, backend: BackendId) -> bool {
+    fn routable(&self, id: RequestId, backend: BackendId) -> bool {
         let core = self.core.borrow();
-        core.stands(backend) && core.open.get(&id).is_some_and(|o| o.owed.is_some())
+        core.routable(backend) && core.open.get(&id).is_some_and(|o| o.responder.is_some())
     }
 }
 
@@ -436,8 +437,8 @@
 
 impl Core {
     /// May be sent to at this moment.
-    fn stands(&self, backend: BackendId) -> bool {
-        self.places.get(&backend).is_some_and(|p| p.up) && self.balancer.in_service(backend)
+    fn routable(&self, backend: BackendId) -> bool {
+        self.endpoints.get(&backend).is_some_and(|p| p.up) && self.balancer.in_service(backend)
     }
 
     /// Notes what happened and says it in the decisions' words; none where they need not hear of it.
@@ -448,31 +449,32 @@
                 self.list(kind, &targets, upstream);
                 Event::List { kind, entries: targets.into_iter().map(|t| t.entry).collect() }
             }
-            Input::Arrived(request, call, owed) => {
-                self.open.insert(request.id, Open { owed: Some(owed), call, attempts: Vec::new() });
+            Input::Arrived(request, call, responder) => {
+                self.open
+                    .insert(request.id, Open { responder: Some(responder), call, attempts: Vec::new() });
                 Event::Request(request)
             }
             Input::Left(id) => {
-                // After the answer this is no news.
-                self.open.get(&id)?.owed.as_ref()?;
-                self.settle(id, Answer::Failed);
+                // After the answer this changes nothing.
+                self.open.get(&id)?.responder.as_ref()?;
+                self.respond(id, Answer::Failed);
                 Event::Left(id)
             }
             Input::Whole(id) => Event::Whole(id),
             Input::Begun { id, attempt, backend, finish, elapsed_ms } => {
                 let reply = finish.reply?;
-                self.open.get_mut(&id)?.owed.take()?.settle(Answer::Served(reply));
+                self.open.get_mut(&id)?.responder.take()?.respond(Answer::Served(reply));
                 Event::Started { id, attempt, backend, elapsed_ms }
             }
             Input::Ended { id, attempt, backend, finish, elapsed_ms } => {
                 let open = self.open.get_mut(&id)?;
                 open.attempts.get_mut(attempt as usize)?.take()?;
                 if let Some(reply) = finish.reply
-                    && let Some(owed) = open.owed.take()
+                    && let Some(responder) = open.responder.take()
                 {
-                    owed.settle(Answer::Served(reply));
+                    responder.respond(Answer::Served(reply));
                 }
-                let (last, outcome, load) = (open.owed.is_none(), finish.outcome, finish.load);
+                let (last, outcome, load) = (open.responder.is_none(), finish.outcome, finish.load);
                 if open.over() {
                     self.open.remove(&id);
                 }
@@ -487,10 +489,10 @@
         })
     }
 
-    fn settle(&mut self, id: RequestId, answer: Answer) {
+    fn respond(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        if let Some(owed) = open.owed.take() {
-            owed.settle(answer);
+        if let Some(responder) = open.responder.take() {
+            responder.respond(answer);
         }
         if open.over() {
             self.open.remove(&id);
@@ -500,8 +502,8 @@
     fn list(&mut self, kind: ListKind, targets: &[Target], upstream: &Upstream) {
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             // Whoever the whole list leaves out is gone.
-            for place in self.places.values_mut() {
-                place.up = false;
+            for endpoint in self.endpoints.values_mut() {
+                endpoint.up = false;
             }
             self.listed.clear();
         }
@@ -512,27 +514,27 @@
             } else {
                 self.listed.insert(entry.backend);
             }
-            match (self.places.get_mut(&entry.backend), address) {
-                (Some(place), address) => {
-                    let address = address.unwrap_or(place.address);
-                    if address != place.address || entry.ready_at_ms > place.ready_at_ms {
-                        // What was connected to the old process or place is of no use.
+            match (self.endpoints.get_mut(&entry.backend), address) {
+                (Some(endpoint), address) => {
+                    let address = address.unwrap_or(endpoint.address);
+                    if address != endpoint.address || entry.ready_at_ms > endpoint.ready_at_ms {
+                        // What was connected to the old process or endpoint is of no use.
                         upstream.release(entry.backend);
                     }
-                    *place = Place { address, up, ready_at_ms: entry.ready_at_ms };
+                    *endpoint = Endpoint { address, up, ready_at_ms: entry.ready_at_ms };
                 }
                 (None, Some(address)) => {
-                    let place = Place { address: *address, up, ready_at_ms: entry.ready_at_ms };
-                    self.places.insert(entry.backend, place);
+                    let endpoint = Endpoint { address: *address, up, ready_at_ms: entry.ready_at_ms };
+                    self.endpoints.insert(entry.backend, endpoint);
                 }
                 (None, None) => {}
             }
         }
-        self.places.retain(|id, place| {
-            if !place.up {
+        self.endpoints.retain(|id, endpoint| {
+            if !endpoint.up {
                 upstream.release(*id);
             }
-            place.up
+            endpoint.up
         });
     }
 }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -185,7 +185,7 @@
 
     fn of(&self, driver: &Driver) -> State {
         let (calls, list) = (self.calls.get(), self.list.get());
-        State { pid: self.pid, calls, out: driver.out(), list, backends: driver.memory() }
+        State { pid: self.pid, calls, out: driver.disabled(), list, backends: driver.memory() }
     }
 
     /// Takes over what the process before this one left, and declares this one the serving one. True if that
@@ -269,7 +269,7 @@
             self.meet(there.as_ref().map_or(self.pid, |state| state.pid), &driver);
             if let Some(state) = there.as_ref().filter(|s| s.calls > self.calls.get()) {
                 self.calls.set(state.calls);
-                let known = driver.out();
+                let known = driver.disabled();
                 state.out.difference(&known).for_each(|id| driver.take(Input::Disable(*id)));
                 known.difference(&state.out).for_each(|id| driver.take(Input::Enable(*id)));
                 log::line(&format!("handover: call {}: {} out of service", state.calls, state.out.len()));
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -50,7 +50,7 @@
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
 /// Time for those failures to be written.
-const FAREWELL: Duration = Duration::from_millis(100);
+const LAST_WRITES: Duration = Duration::from_millis(100);
 
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
     let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -124,7 +124,7 @@
         behind = handover.take_over(&driver);
         spawn_local(handover.clone().keep(driver.clone()));
     }
-    let (told, address) = watch::channel(config.discovery);
+    let (discovery, address) = watch::channel(config.discovery);
     let watch = Watch {
         address,
         mode: settings.discovery,
@@ -136,7 +136,7 @@
         rng,
     };
     spawn_local(watch.run(driver.clone()));
-    spawn_local(reload(hangup, told));
+    spawn_local(reload(hangup, discovery));
     if let Some(peers) = peers {
         let driver = driver.clone();
         spawn_local(async move { peers.listen(&driver).await });
@@ -177,7 +177,7 @@
     server.wind_down(end).await;
     // Better failed than lost: what is still open would be cut by the end of the process.
     driver.end_all();
-    server.wind_down(Instant::now() + FAREWELL).await;
+    server.wind_down(Instant::now() + LAST_WRITES).await;
     Ok(())
 }
 
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -43,40 +43,40 @@
 ];
 
 /// An answer of this node's own.
-pub type Own = Response<Answering>;
+pub type LocalReply = Response<Answering>;
 
 /// Why a request is turned away.
-pub struct Away(StatusCode, &'static str);
+pub struct Rejection(StatusCode, &'static str);
 
-impl Away {
+impl Rejection {
     /// What the client is told.
     pub fn text(&self) -> &'static str {
         self.1
     }
 
     /// The answer that says so.
-    pub fn answer(self) -> Own {
-        if self.0 == StatusCode::SERVICE_UNAVAILABLE { full() } else { farewell(self.0, self.1) }
+    pub fn answer(self) -> LocalReply {
+        if self.0 == StatusCode::SERVICE_UNAVAILABLE { full() } else { closing(self.0, self.1) }
     }
 }
 
 /// An answer with a fixed text.
-pub fn plain(status: StatusCode, text: &'static str) -> Own {
+pub fn plain(status: StatusCode, text: &'static str) -> LocalReply {
     let mut response = Response::new(Answering::of(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
 
 /// The same, and the end of its connection.
-pub fn farewell(status: StatusCode, text: &'static str) -> Own {
+pub fn closing(status: StatusCode, text: &'static str) -> LocalReply {
     let mut response = plain(status, text);
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
 /// This node holds all that it can.
-pub fn full() -> Own {
-    let mut response = farewell(StatusCode::SERVICE_UNAVAILABLE, "full, try again later\n");
+pub fn full() -> LocalReply {
+    let mut response = closing(StatusCode::SERVICE_UNAVAILABLE, "full, try again later\n");
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(FULL_FOR));
     response
 }
@@ -136,8 +136,8 @@
     }
 
     /// Reads and checks a request. What is wrong with it is answered here; no backend hears of it.
-    pub async fn read(&self, arrived: Instant, head: Parts, body: Incoming) -> Result<Reading, Away> {
-        let wrong = |text| Away(StatusCode::BAD_REQUEST, text);
+    pub async fn read(&self, arrived: Instant, head: Parts, body: Incoming) -> Result<Reading, Rejection> {
+        let wrong = |text| Rejection(StatusCode::BAD_REQUEST, text);
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         let Some(id) = head.headers.get("x-trace-id").filter(|id| !id.is_empty()).cloned() else {
             return Err(wrong("X-Trace-Id is missing\n"));
@@ -150,7 +150,7 @@
         let length = match head.headers.get(CONTENT_LENGTH) {
             _ if head.headers.contains_key(TRANSFER_ENCODING) => None,
             None if head.method == Method::GET => Some(0),
-            None => return Err(Away(StatusCode::LENGTH_REQUIRED, "Content-Length is missing\n")),
+            None => return Err(Rejection(StatusCode::LENGTH_REQUIRED, "Content-Length is missing\n")),
             // hyper has read it: one that is no number has not come so far.
             Some(length) => length.to_str().ok().and_then(|l| l.parse::<u64>().ok()),
         };
@@ -175,16 +175,16 @@
             },
         };
         if length.is_some_and(|l| l > BODY_LIMIT as u64) {
-            return Err(Away(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
+            return Err(Rejection(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
         }
         let (body, room) = match self.collect(body, length, arrived).await {
             Ok(collected) => collected,
             Err(Unread::NoRoom) => {
-                return Err(Away(StatusCode::SERVICE_UNAVAILABLE, "no room for its body\n"));
+                return Err(Rejection(StatusCode::SERVICE_UNAVAILABLE, "no room for its body\n"));
             }
             Err(Unread::Broken) => return Err(wrong("the body cannot be read\n")),
             Err(Unread::Slow) => {
-                return Err(Away(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"));
+                return Err(Rejection(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"));
             }
         };
         if known.effect == Effect::Safe && !matches!(&body, Asking::Whole(body) if body.is_empty()) {
@@ -195,7 +195,7 @@
         let expires = arrived + wait.saturating_sub(LAST_MARGIN);
         // Whoever holds back its body holds no id.
         let Some(id) = self.ids.open(id) else {
-            return Err(Away(StatusCode::CONFLICT, "an open request has this X-Trace-Id\n"));
+            return Err(Rejection(StatusCode::CONFLICT, "an open request has this X-Trace-Id\n"));
         };
         let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
         let asked = Asked {
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -3,7 +3,7 @@
 use crate::BACKLOG;
 use crate::driver::{Answer, Driver};
 use crate::log;
-use crate::request::{Own, Reader, Reading, farewell, full, plain};
+use crate::request::{LocalReply, Reader, Reading, closing, full, plain};
 use crate::socket::{Descriptors, Slot, Socket, out_of_descriptors};
 use hyper::body::Incoming;
 use hyper::header::{
@@ -33,7 +33,7 @@
 const TAKING_LIMIT: Duration = Duration::from_secs(10);
 const BOTH_FRAMINGS: &str = "both a length and chunks\n";
 /// How often what was turned away may be told.
-const AWAY_EVERY: Duration = Duration::from_secs(10);
+const REJECTED_EVERY: Duration = Duration::from_secs(10);
 /// One that carries a request just then is looked at again so soon.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// What a client is still sending when its connection ends is read for so long and so far: a socket closed
@@ -217,8 +217,8 @@
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     /// What was turned away since that was last told, by the answer's text, and clients cut for being slow.
-    away: RefCell<BTreeMap<&'static str, u32>>,
-    away_told: Cell<Option<Instant>>,
+    rejected: RefCell<BTreeMap<&'static str, u32>>,
+    rejected_logged: Cell<Option<Instant>>,
     next: Cell<u64>,
     stopping: Cell<Option<Instant>>,
     succeeded: Cell<bool>,
@@ -244,8 +244,8 @@
             buffer,
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
-            away: RefCell::default(),
-            away_told: Cell::new(None),
+            rejected: RefCell::default(),
+            rejected_logged: Cell::new(None),
             next: Cell::new(0),
             stopping: Cell::new(None),
             succeeded: Cell::new(false),
@@ -326,7 +326,7 @@
                 Err(e) => {
                     // Out of descriptors, or a client that has gone already: neither may end the node or
                     // keep it or its log busy.
-                    self.turn_away(if out_of_descriptors(&e) { "no descriptor" } else { "gone already" });
+                    self.reject(if out_of_descriptors(&e) { "no descriptor" } else { "gone already" });
                     self.descriptors.relieve();
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -334,7 +334,7 @@
         }
     }
 
-    /// Answers what is there with a farewell and closes what carries nothing; returns when no client is
+    /// Answers what is there with a closing and closes what carries nothing; returns when no client is
     /// left, or at `end`.
     pub async fn wind_down(self: &Rc<Self>, end: Instant) {
         while Instant::now() < end && !self.clients.borrow().is_empty() {
@@ -420,8 +420,8 @@
             let busy = Busy::new(client.clone());
             async move {
                 let mut response = if hides {
-                    self.turn_away(BOTH_FRAMINGS);
-                    farewell(StatusCode::BAD_REQUEST, BOTH_FRAMINGS)
+                    self.reject(BOTH_FRAMINGS);
+                    closing(StatusCode::BAD_REQUEST, BOTH_FRAMINGS)
                 } else {
                     self.respond(request, &client.socket).await?
                 };
@@ -466,12 +466,12 @@
                     looked_again = waits;
                     if outstayed && !waits {
                         if client.socket.begun().is_some() {
-                            self.turn_away("half a head");
+                            self.reject("half a head");
                         }
                         return;
                     }
                     if client.stuck_taking() {
-                        self.turn_away("took nothing more");
+                        self.reject("took nothing more");
                         return;
                     }
                     look_at = client.due().max(Instant::now() + LOOK_AGAIN);
@@ -488,7 +488,7 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, client: &Socket) -> Result<Own, Left> {
+    async fn respond(&self, request: Request<Incoming>, client: &Socket) -> Result<LocalReply, Left> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
@@ -496,16 +496,16 @@
             match self.reader.read(arrived, head, body).await {
                 Ok(reading) => self.ask(reading, client).await?,
                 Err(why) => {
-                    self.turn_away(why.text());
+                    self.reject(why.text());
                     why.answer()
                 }
             }
         } else if path != "/up" {
-            farewell(StatusCode::NOT_FOUND, "no such path\n")
+            closing(StatusCode::NOT_FOUND, "no such path\n")
         } else if matches!(head.method, Method::GET | Method::HEAD) {
             plain(if self.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
-            farewell(StatusCode::METHOD_NOT_ALLOWED, "")
+            closing(StatusCode::METHOD_NOT_ALLOWED, "")
         };
         if self.leaving() || self.crowded() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -514,15 +514,15 @@
     }
 
     /// Counts what no backend heard of, and says so now and then.
-    fn turn_away(&self, why: &'static str) {
-        *self.away.borrow_mut().entry(why.trim_end()).or_default() += 1;
-        if self.away_told.get().is_none_or(|at| at.elapsed() > AWAY_EVERY) {
-            self.away_told.set(Some(Instant::now()));
-            let told: Vec<String> = std::mem::take(&mut *self.away.borrow_mut())
+    fn reject(&self, why: &'static str) {
+        *self.rejected.borrow_mut().entry(why.trim_end()).or_default() += 1;
+        if self.rejected_logged.get().is_none_or(|at| at.elapsed() > REJECTED_EVERY) {
+            self.rejected_logged.set(Some(Instant::now()));
+            let told: Vec<String> = std::mem::take(&mut *self.rejected.borrow_mut())
                 .iter()
                 .map(|(w, n)| format!("{n} {w:?}"))
                 .collect();
-            log::line(&format!("turned away: {}", told.join(", ")));
+            log::line(&format!("rejected: {}", told.join(", ")));
         }
     }
 
@@ -535,7 +535,7 @@
 
     /// Has a request answered for as long as its client is there. hyper looks for a client's end only where nothing
     /// else is to be read: behind a further request it would show after the answer to this one.
-    async fn ask(&self, reading: Reading, client: &Socket) -> Result<Own, Left> {
+    async fn ask(&self, reading: Reading, client: &Socket) -> Result<LocalReply, Left> {
         if self.driver.open() >= self.open_cap {
             return Ok(full());
         }
@@ -551,7 +551,7 @@
 }
 
 /// The answer as the client sees it.
-fn answer(answer: Answer) -> Own {
+fn answer(answer: Answer) -> LocalReply {
     match answer {
         Answer::Served(reply) => {
             let mut response = Response::new(reply.body);
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -439,9 +439,9 @@
 /// not both of the first.
 fn check(headers: &HeaderMap, body: &Incoming, limit: usize) -> Result<(), Failure> {
     let both = headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH);
-    let told = !both || body.size_hint().exact() == Some(0);
+    let framed = !both || body.size_hint().exact() == Some(0);
     let fits = body.size_hint().lower() <= limit as u64;
-    if told && fits { Ok(()) } else { Err(Failure::Spoilt) }
+    if framed && fits { Ok(()) } else { Err(Failure::Spoilt) }
 }
 
 type Driven = Pin<Box<Connection<TokioIo<Socket>, Sending>>>;
@@ -567,7 +567,7 @@
         Ok(Response::from_parts(head, body))
     }
 
-    /// Open at both ends and with nothing unread, which would be a farewell.
+    /// Open at both ends and with nothing unread, which would be its close.
     pub fn alive(&self) -> bool {
         self.connection.is_some() && !self.sender.is_closed() && self.socket.quiet()
     }
@@ -643,7 +643,7 @@
 }
 
 /// One attempt: what is sent, where, and for how long it is waited for.
-pub struct Errand {
+pub struct Attempt {
     /// Which backend.
     pub backend: BackendId,
     /// Where that is.
@@ -656,7 +656,7 @@
     pub begun: Instant,
 }
 
-impl Errand {
+impl Attempt {
     /// Waits for the end of the time that the attempt has.
     async fn overdue(&self) {
         let whole = self.call.whole().await;
@@ -710,8 +710,8 @@
 
     /// Closes the connections to a backend that carry nothing.
     ///
-    /// Not only for the decisions: a backend that broke a connection may have been away. What was open to it before is reset as soon as something is sent on it, and an unsafe
-    /// request would be lost.
+    /// Not only for the decisions: a backend that broke a connection may have been away. What was open to it before
+    /// is reset as soon as something is sent on it, and an unsafe request would be lost.
     pub fn release(&self, backend: BackendId) {
         let closed = self.idle.borrow_mut().remove(&backend);
         drop(closed);
@@ -783,9 +783,9 @@
 
     /// Sends one attempt and waits for its end, or for a long answer's beginning. `wanted` says whether request and
     /// backend still stand.
-    pub async fn attempt(&self, errand: &Errand, wanted: impl Fn() -> bool) -> End {
+    pub async fn attempt(&self, attempt: &Attempt, wanted: impl Fn() -> bool) -> End {
         let over = |outcome: Outcome| End::Over(outcome.into(), None);
-        let (mut conn, age) = match self.connection(errand.backend, errand.address, errand.until).await {
+        let (mut conn, age) = match self.connection(attempt.backend, attempt.address, attempt.until).await {
             Ok(found) => found,
             Err(outcome) => return over(outcome),
         };
@@ -794,11 +794,11 @@
             return over(Outcome::NotConnected);
         }
         let (written, read) = (conn.socket.written(), conn.socket.read());
-        let left = errand.until.saturating_duration_since(Instant::now());
-        let request = errand.call.request(errand.address, left);
+        let left = attempt.until.saturating_duration_since(Instant::now());
+        let request = attempt.call.request(attempt.address, left);
         let socket = conn.socket.clone();
         let overdue = async {
-            errand.overdue().await;
+            attempt.overdue().await;
             // What the system has by then was in time, however late this node has its turn: it is read in the next.
             if !socket.quiet() {
                 tokio::time::sleep(NEXT_TURN).await;
@@ -808,14 +808,14 @@
             biased;
             answer = conn.answer(request) => Some(answer),
             () = overdue => None,
-            () = errand.stalled() => None,
+            () = attempt.stalled() => None,
         };
         // Silence tells nothing of the connection.
         if let Some(end) = &answer {
             let broke = matches!(end, Err(Failure::Broken(_))) && conn.socket.read() == read;
             self.ages.borrow_mut().note(age, broke);
         }
-        let passing = match &errand.call.body {
+        let passing = match &attempt.call.body {
             Asking::Passing(upload) if upload.whole.get().is_none() => Some(upload),
             _ => None,
         };
@@ -833,7 +833,7 @@
             None if conn.socket.read() == read => Outcome::TimedOut,
             None | Some(Err(Failure::Spoilt)) => Outcome::Error,
             Some(Err(Failure::Broken(_))) => {
-                self.release(errand.backend);
+                self.release(attempt.backend);
                 Outcome::Reset
             }
         })
@@ -845,7 +845,7 @@
             // Nobody wants the rest of it.
             return End::Over(finish(head, Answering::Whole(None)), None);
         }
-        let (end, told) = oneshot::channel();
+        let (end, ended) = oneshot::channel();
         let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
         let download = Download {
             first: Some(first).filter(|f| !f.is_empty()),
@@ -857,7 +857,7 @@
             held: None,
             end: Some(end),
         };
-        End::Begun(finish(head, Answering::Passing(Box::new(download))), told)
+        End::Begun(finish(head, Answering::Passing(Box::new(download))), ended)
     }
 }
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -243,7 +243,7 @@
 
 #[test]
 fn a_node_that_admits_little_comes_back() {
-    // Found at full size: strain without new outcomes kept a node at the least admission for ten seconds.
+    // Found at full size: overload without new outcomes kept a node at the least admission for ten seconds.
     let mut w = safe(10);
     w.warm_up(100, 0, 20.0);
     for n in 0..200 {
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -84,7 +84,7 @@
         assert_eq!(attempt(node.address, text.as_bytes()).map(|m| m.status()), Some(400));
         node.terminate();
         assert!(node.ended().success());
-        assert!(node.log().contains(&format!("turned away: 1 {why:?}")), "{why}");
+        assert!(node.log().contains(&format!("rejected: 1 {why:?}")), "{why}");
     }
 }
 
--- a/tests/node_large.rs
+++ b/tests/node_large.rs
@@ -352,7 +352,7 @@
     assert_eq!(got.lock().unwrap().len(), 1);
     node.terminate();
     assert!(node.ended().success());
-    assert!(node.log().contains("turned away: 1 \"the body did not come in time\""));
+    assert!(node.log().contains("rejected: 1 \"the body did not come in time\""));
 }
 
 #[test]
