Write an operator's call again where the other process has overwritten it

Seen once in six runs of the suite on a loaded machine: after a call to the old process the new one never heard of it. At fault: Handover::keep, which reads the state file and then writes it; a call in between was lost with its number. Ruled out: load alone, ten seconds were waited. A process now writes its last call again where the file has a lower number.

--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -218,6 +218,11 @@
     pub fn called(&self, driver: &Rc<Driver>) {
         let there = self.read().ok().flatten();
         self.calls.set(there.as_ref().map_or(0, |s| s.calls).max(self.calls.get()) + 1);
+        self.share(there, driver);
+    }
+
+    /// Writes who is out of service by the last call that this process knows of.
+    fn share(&self, there: Option<State>, driver: &Rc<Driver>) {
         let own = self.of(driver);
         // The other may serve by now; what it knows of the backends is newer.
         self.write(&match there {
@@ -274,6 +279,10 @@
                 known.difference(&state.out).for_each(|id| driver.take(Input::Enable(*id)));
                 log::line(&format!("handover: call {}: {} out of service", state.calls, state.out.len()));
             }
+            // A call that was written here while the other process was about to write is gone from the file.
+            if there.as_ref().is_some_and(|s| s.calls < self.calls.get()) {
+                self.share(there.clone(), &driver);
+            }
             if turn % WRITE_EVERY == 0 && !there.is_some_and(|s| self.is_successor(s.pid)) {
                 self.write(&self.of(&driver));
             }
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -127,6 +127,28 @@
     let _ = std::fs::remove_dir_all(folder);
 }
 
+#[test]
+fn a_call_that_the_other_process_overwrites_reaches_it_all_the_same() {
+    let (_, discovery) = three_backends();
+    let socket = TcpListener::bind(free_address()).unwrap();
+    let folder = folder("overwritten");
+    let old = Node::inherit(discovery.address, &socket, &folder, with_console);
+    wait_for("the old process is ready", || old.up() == 200);
+    let new = Node::inherit(discovery.address, &socket, &folder, with_console);
+    wait_for("the new process is ready", || call_if(&new, "ready").starts_with("done"));
+    let file = folder.join("node-state.json");
+    // The new process has read the file, is about to write it, and writes what was in it before the call.
+    new.frozen(|| {
+        let before = std::fs::read(&file).unwrap();
+        assert!(old.call("disable-server s-1").starts_with("done out of service"));
+        std::fs::write(&file, before).unwrap();
+    });
+    wait_for("the new process knows of the call", || {
+        new.call("enable-server s-1").starts_with("done in service")
+    });
+    let _ = std::fs::remove_dir_all(folder);
+}
+
 #[test]
 fn a_state_that_cannot_be_read_is_no_reason_not_to_start() {
     let (_, discovery) = three_backends();
