--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1256,8 +1256,8 @@
 }
 /// What one call to discovery is held to take it, in milliseconds.
 const CALL_MS: f64 = 40.0;
-/// The longest pause after a failed call to discovery, in milliseconds: its updates count as told 6 s after it
-/// could be had, which must do for two such pauses and two calls that wait their turn there, 2 s at the most.
+/// The longest pause after a failed call to discovery, in milliseconds: its changes count 6 s after they
+/// could be had, enough for two such pauses and two calls that wait their turn there, for 2 s at the most.
 const ASK_PAUSE_MS: f64 = 900.0;
 /// Time between two trials of one backend, over all nodes, in milliseconds.
 const TRIAL_MS: f64 = 100.0;
