Begin a repeat only while its key is remembered, however late its connection comes up

Balancer::may_send kept the window when it decided; Upstream::attempt then waited for the connection and checked only that server and client still stand. Ruled out: the group, the window's start, long bodies.

Action::Send now says within what time it may begin (Balancer::effect_window). Upstream waits for the connection no longer than that and checks the clock before the first byte; such an attempt was never sent. The world of the behaviour tests checks it at each send.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,8 +5,8 @@
 //! send passes through `Balancer::may_send`, every refusal through `Balancer::answer`.
 
 use crate::interface::{
-    Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Memory,
-    Outcome, Reporting, Request, RequestId, Settings, SettingsError,
+    Action, BackendId, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Memory, Outcome,
+    Reporting, Request, RequestId, Settings, SettingsError,
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -17,8 +17,7 @@
 const TICK: u64 = 1;
 const ASK: u64 = 2;
 
-/// The failure record: failures and tries in a window of buckets, and the congested state with its
-/// PRAT.
+/// The failure record: failures and tries in a window of buckets, and the congested state with its PRAT.
 #[derive(Debug, Default)]
 struct Record {
     buckets: [(u16, u16); BUCKETS],
@@ -369,8 +368,7 @@
 }
 
 impl Balancer {
-    /// A balancer that knows its settings and nothing else. The same seed and events give the same
-    /// actions.
+    /// A balancer that knows its settings and nothing else. The same seed and events give the same actions.
     ///
     /// # Errors
     /// Settings that cannot be run on: no class, or a figure outside its range.
@@ -446,8 +444,7 @@
         self.s.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max)
     }
 
-    /// N: half of the time a restart takes to warm, so that a failure is forgotten before its cause
-    /// recurs.
+    /// N: half of the time a restart takes to warm, so that a failure is forgotten before its cause recurs.
     fn window(&self) -> f64 {
         (self.s.cold_ms / 2.0).max(2.0 * self.longest_aim())
     }
@@ -473,12 +470,13 @@
             return;
         }
         (self.refused, self.refused_told) = (Refused::default(), now);
-        let up = self.backends.iter().filter(|b| b.up).count();
         let live = self.backends.iter().filter(|b| b.up && !b.record.congested).count();
         let text = format!(
             "refused: {too_late} too late, {shed} shed, {crowded} crowded, {blocked} with every way blocked; \
-             {live} of {up} live, level {:.2}, overload {:.2}",
-            self.admission.level, self.admission.overload
+             {live} of {} live, level {:.2}, overload {:.2}",
+            self.places.len(),
+            self.admission.level,
+            self.admission.overload
         );
         out.push(Action::Log(text));
     }
@@ -832,29 +830,30 @@
     /// The gate of every send: the four rules, whatever the picking wants.
     fn may_send(&self, now: f64, open: &Open, index: usize) -> bool {
         let b = &self.backends[index];
-        let class = self.s.classes.get(open.request.class);
-        let may_have_run = open.attempts.iter().find(|a| !a.never_ran);
-        let effect_kept = match (may_have_run, class.map_or(Effect::Unsafe, |c| c.effect)) {
-            (None, _) | (Some(_), Effect::Safe) => true,
-            (Some(_), Effect::Unsafe) => false,
-            (Some(a), Effect::Keyed(group)) => {
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => a.zone == b.zone,
-                    Group::Cell => a.cell == b.cell,
-                };
-                same && now < a.sent + class.map_or(0.0, |c: &Class| c.key_ttl_ms)
-            }
-        };
-        let copies_kept = self.s.second_copies || !open.is_pending();
-        let cold_kept = now - b.cold_since >= self.s.cold_ms || self.cold_left(now, index) >= 1.0;
         !open.finished
             && now < open.request.deadline_ms
             && (open.attempts.len() as u32) < self.s.max_attempts
             && b.up
-            && effect_kept
-            && copies_kept
-            && cold_kept
+            && self.effect_window(now, open, index) > 0.0
+            && (self.s.second_copies || !open.is_pending())
+            && (now - b.cold_since >= self.s.cold_ms || self.cold_left(now, index) >= 1.0)
+    }
+
+    /// For how long an attempt at this backend may still begin: once an earlier one may have run, a request
+    /// that may not simply be repeated is sent only where that is known, and while it is.
+    fn effect_window(&self, now: f64, open: &Open, index: usize) -> f64 {
+        let Some(a) = open.attempts.iter().find(|a| !a.never_ran) else { return f64::INFINITY };
+        let b = &self.backends[index];
+        let known = |group| match group {
+            Group::All => true,
+            Group::Zone => a.zone == b.zone,
+            Group::Cell => a.cell == b.cell,
+        };
+        match self.s.classes.get(open.request.class).map(|c| (c.effect, c.key_ttl_ms)) {
+            Some((Effect::Safe, _)) => f64::INFINITY,
+            Some((Effect::Keyed(group), ttl)) if known(group) => a.sent + ttl - now,
+            _ => 0.0,
+        }
     }
 
     // ---- the life of a request ----
@@ -862,9 +861,8 @@
     fn on_request(&mut self, now: f64, request: Request, out: &mut Vec<Action>) {
         let given = (request.deadline_ms - now).max(0.0);
         let class = self.s.classes.get(request.class);
-        let (aim, deadline) = class.map_or((given, given), |c| (c.aim_ms, c.deadline_ms));
-        let mut worth = class.map_or(1.0, |c| c.worth);
-        let late_worth = class.map_or(0.0, |c| c.late_worth);
+        let (aim, deadline, mut worth, late_worth) =
+            class.map_or((given, given, 1.0, 0.0), |c| (c.aim_ms, c.deadline_ms, c.worth, c.late_worth));
         let mut age = 0.0;
         if let Some(l) = self.learned.get_mut(request.class) {
             // A client in a hurry looks like one at its last try. Where a late answer still has worth, the
@@ -929,16 +927,16 @@
             self.answer(now, id, out);
             return;
         };
-        let Some(class) = self.open.get(&id).map(|o| o.request.class) else { return };
-        let (repeats, left) = (self.repeats(class), self.cold_left(now, index));
+        let Some(open) = self.open.get(&id) else { return };
+        let (repeats, left) = (self.repeats(open.request.class), self.cold_left(now, index));
+        let begin_within_ms = self.effect_window(now, open, index);
         let Some(open) = self.open.get_mut(&id) else { return };
         let late = self.s.classes.get(open.request.class).is_some_and(|c| c.late_worth > 0.0);
         let end = if late && self.admission.level > 0.95 { open.request.deadline_ms } else { open.aim_at };
         let mut timeout = end.min(open.request.deadline_ms) - now;
         let b = &mut self.backends[index];
         if let Some(l) = self.learned.get(open.request.class).filter(|l| l.seen >= 20) {
-            // n is short where the backend is in doubt and a repeat is allowed: a silent one costs
-            // little.
+            // n is short where the backend is in doubt and a repeat is allowed: a silent one costs little.
             let doubt = b.record.congested || b.record.doubt > 0;
             if doubt && repeats && self.admission.retry >= 1.0 {
                 timeout = timeout.min((l.mean + 4.0 * l.spread).max(2.0 * self.s.tick_ms));
@@ -957,7 +955,7 @@
         let attempt =
             Attempt { backend, zone, cell, sent: now, timeout, pending: true, never_ran: false, trial };
         open.attempts.push(attempt);
-        out.push(Action::Send { id, backend, timeout_ms: timeout });
+        out.push(Action::Send { id, backend, timeout_ms: timeout, begin_within_ms });
     }
 
     /// The gate of every refusal: refused where that promise holds, failed where it does not.
@@ -1095,8 +1093,9 @@
         if self.unconnected > SCARCE {
             if now >= self.scarce_until {
                 out.push(Action::Log("connections are scarce: idle ones are given back".to_owned()));
-                let idle = self.backends.iter().filter(|b| b.in_flight == 0);
-                out.extend(idle.map(|b| Action::Release(b.id)));
+                out.extend(
+                    self.backends.iter().filter(|b| b.in_flight == 0).map(|b| Action::Release(b.id)),
+                );
             }
             self.scarce_until = now + self.s.conn_idle_ms;
         }
@@ -1192,8 +1191,7 @@
             return;
         }
         let (failures, tries) = b.record.sums();
-        // M grows with traffic and with what the whole fleet suffers: a shared failure says little of
-        // one.
+        // M grows with traffic and with what the whole fleet suffers: a shared failure says little of one.
         let most = 1.0 + tries * (0.25 + 3.0 * self.fleet_failing);
         // A backend that has just fallen silent has a window full of old answers: a run of failures
         // that chance would bring once in two hundred trips it too, as far as it is within the window. Many
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -448,6 +448,9 @@
         backend: BackendId,
         /// The attempt's time-out.
         timeout_ms: f64,
+        /// Only so soon may its first byte be written: later, what an earlier attempt did may be forgotten. Infinite
+        /// where that does not matter.
+        begin_within_ms: f64,
     },
     /// Stop waiting on an attempt.
     Cancel {
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -308,7 +308,9 @@
 
     fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
         match action {
-            Action::Send { id, backend, timeout_ms } => self.send(core, id, backend, timeout_ms),
+            Action::Send { id, backend, timeout_ms, begin_within_ms } => {
+                self.send(core, id, backend, timeout_ms, begin_within_ms);
+            }
             Action::Cancel { id, attempt } => {
                 let off = core.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt as usize));
                 // Dropping the handle is the call: the attempt closes its connection and reports.
@@ -336,7 +338,14 @@
         }
     }
 
-    fn send(self: &Rc<Self>, core: &mut Core, id: RequestId, backend: BackendId, timeout_ms: f64) {
+    fn send(
+        self: &Rc<Self>,
+        core: &mut Core,
+        id: RequestId,
+        backend: BackendId,
+        timeout_ms: f64,
+        begin_within_ms: f64,
+    ) {
         let Some(open) = core.open.get_mut(&id) else { return };
         let number = u32::try_from(open.attempts.len()).unwrap_or(u32::MAX);
         let (off, mut called_off) = oneshot::channel::<()>();
@@ -355,9 +364,11 @@
             report.finish = Some(outcome.into());
             return;
         };
-        let until = report.begun + Duration::from_secs_f64(timeout_ms.clamp(0.0, 1e9) / 1000.0);
         let begun = report.begun;
-        let attempt = Attempt { backend, address: endpoint.address, call: open.call.clone(), until, begun };
+        let after = |ms: f64| begun + Duration::from_secs_f64(ms.clamp(0.0, 1e9) / 1000.0);
+        let (until, begin_by) = (after(timeout_ms), after(begin_within_ms));
+        let (address, call) = (endpoint.address, open.call.clone());
+        let attempt = Attempt { backend, address, call, until, begin_by, begun };
         let driver = self.clone();
         spawn_local(async move {
             let wanted = || driver.routable(id, attempt.backend);
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -652,6 +652,8 @@
     pub call: Rc<Call>,
     /// When to stop waiting; where the body passes on, that much later as its end comes after `begun`.
     pub until: Instant,
+    /// Until when its first byte may go out.
+    pub begin_by: Instant,
     /// When it was decided on.
     pub begun: Instant,
 }
@@ -756,20 +758,17 @@
         }
     }
 
-    /// A connection to the backend, by `until` at the latest, and for how long it was idle if it was kept.
+    /// A connection to the attempt's backend, in time for it, and for how long it was idle if it was kept.
     ///
-    /// Where this node itself has no descriptor for one, the attempt is not made: `NotConnected` would
-    /// blame the backends, and all of them would be held for dead.
-    async fn connection(
-        &self,
-        backend: BackendId,
-        address: SocketAddr,
-        until: Instant,
-    ) -> Result<(Conn, Option<Duration>), Outcome> {
+    /// Where this node itself has no descriptor for one, or it may not begin when one that comes up late does, the
+    /// attempt is not made: `NotConnected` would blame the backends, and all of them would be held for dead.
+    async fn connection(&self, attempt: &Attempt) -> Result<(Conn, Option<Duration>), Outcome> {
+        let Attempt { backend, address, until, begin_by, .. } = *attempt;
         if let Some(idle) = self.take_idle(backend) {
             return Ok((idle.conn, Some(idle.since.elapsed())));
         }
-        let limit = || self.connect_limit.min(until.saturating_duration_since(Instant::now()));
+        let limit =
+            || self.connect_limit.min(until.min(begin_by).saturating_duration_since(Instant::now()));
         let slot = tokio::time::timeout(limit(), self.descriptors.take()).await;
         let slot = slot.map_err(|_| Outcome::Skipped)?;
         match tokio::time::timeout(limit(), Conn::open(address, slot, self.buffer)).await {
@@ -777,6 +776,7 @@
             Ok(Err(e)) if e.downcast_ref::<io::Error>().is_some_and(out_of_descriptors) => {
                 Err(Outcome::Skipped)
             }
+            Err(_) if Instant::now() >= begin_by => Err(Outcome::Skipped),
             _ => Err(Outcome::NotConnected),
         }
     }
@@ -785,14 +785,18 @@
     /// backend still stand.
     pub async fn attempt(&self, attempt: &Attempt, wanted: impl Fn() -> bool) -> End {
         let over = |outcome: Outcome| End::Over(outcome.into(), None);
-        let (mut conn, age) = match self.connection(attempt.backend, attempt.address, attempt.until).await {
+        let (mut conn, age) = match self.connection(attempt).await {
             Ok(found) => found,
             Err(outcome) => return over(outcome),
         };
-        // The handshake took time: a drain told meanwhile holds for this send too.
+        // The handshake took time: a drain told meanwhile holds for this send too, and so does the end of the time in
+        // which a repeat has no second effect.
         if !wanted() {
             return over(Outcome::NotConnected);
         }
+        if Instant::now() >= attempt.begin_by {
+            return over(Outcome::Skipped);
+        }
         let (written, read) = (conn.socket.written(), conn.socket.read());
         let left = attempt.until.saturating_duration_since(Instant::now());
         let request = attempt.call.request(attempt.address, left);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -202,7 +202,7 @@
         let word = |b: &BackendId| self.backends.get(b).map_or("unknown", String::as_str);
         // Writing to a String cannot fail.
         let _ = match action {
-            Action::Send { id, backend, timeout_ms } => writeln!(
+            Action::Send { id, backend, timeout_ms, .. } => writeln!(
                 out,
                 "hand_off who={who} requestId={} giveUpAfterMs={timeout_ms:.3} backend={}",
                 id.0,
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -778,6 +778,31 @@
     ));
 }
 
+#[test]
+fn a_repeat_is_told_until_when_its_key_is_known() {
+    let within = |w: &World, id| {
+        let sent = w.trace.iter().filter_map(|a| match a {
+            Action::Send { id: i, begin_within_ms, .. } if *i == id => Some(*begin_within_ms),
+            _ => None,
+        });
+        sent.collect::<Vec<f64>>()
+    };
+    // Keyed with all, and safe to repeat.
+    for (class, left) in [(3, 800.0), (0, f64::INFINITY)] {
+        let mut w = World::with_backends(settings(), 1, 3);
+        let id = w.ask(class, Some(1));
+        w.wait(200.0);
+        w.end(id, Outcome::Reset);
+        assert_eq!(within(&w, id), [f64::INFINITY, left], "class {class}");
+    }
+    // What surely never ran does not count.
+    let mut w = World::with_backends(settings(), 1, 3);
+    let id = w.ask(3, Some(1));
+    w.wait(200.0);
+    w.end(id, Outcome::NotConnected);
+    assert_eq!(within(&w, id), [f64::INFINITY; 2]);
+}
+
 // ---- many nodes, each seeing little ----
 
 /// One of very many nodes: two candidates tie at nothing in flight.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -144,7 +144,7 @@
     /// The rules, action by action.
     fn check(&mut self, action: &Action) {
         match action {
-            Action::Send { id, backend, timeout_ms } => {
+            Action::Send { id, backend, timeout_ms, begin_within_ms } => {
                 let asked = self.asked.get_mut(id).expect("a known request");
                 assert!(asked.answer.is_none(), "rule 1: sent after its end");
                 assert!(asked.attempts.len() < self.s.max_attempts as usize, "more attempts than allowed");
@@ -166,7 +166,10 @@
                                 Group::Zone => old.zone == entry.zone,
                                 Group::Cell => old.cell == entry.cell,
                             };
-                            same && self.now <= ran.at + c.map_or(0.0, |c| c.key_ttl_ms)
+                            // It may wait for a connection, and begins by then or not at all.
+                            let ttl = c.map_or(0.0, |c| c.key_ttl_ms);
+                            same && self.now <= ran.at + ttl
+                                && self.now + begin_within_ms <= ran.at + ttl + 1e-6
                         }
                     };
                     assert!(held, "rule 2: sent again though it may have run");
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -59,8 +59,13 @@
 
 /// Some socket is connected, or connecting, to `remote` and in that state.
 pub fn tcp_state(remote: SocketAddr, state: &str) -> bool {
+    tcp_count(remote, state) > 0
+}
+
+/// How many are.
+pub fn tcp_count(remote: SocketAddr, state: &str) -> usize {
     let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    sockets.contains(&format!(":{:04X} {state}", remote.port()))
+    sockets.matches(&format!(":{:04X} {state}", remote.port())).count()
 }
 
 /// An address of this process's own with a port that nothing listens on.
@@ -169,7 +174,8 @@
     Act::Say(reply("200 OK", "", body))
 }
 
-type Script = Arc<dyn Fn(usize, &Message) -> Act + Send + Sync>;
+/// What a backend does about its n-th request.
+pub type Script = Arc<dyn Fn(usize, &Message) -> Act + Send + Sync>;
 
 /// Fake backends that share one script and one record of what they were sent.
 #[derive(Clone, Default)]
@@ -217,7 +223,8 @@
         .collect()
 }
 
-fn backend_on(listener: TcpListener, record: &Record, script: Script) {
+/// Takes what comes to a listener.
+pub fn backend_on(listener: TcpListener, record: &Record, script: Script) {
     let record = record.clone();
     thread::spawn(move || {
         for stream in listener.incoming() {
--- a/tests/node_crossings.rs
+++ b/tests/node_crossings.rs
@@ -269,3 +269,43 @@
     assert_eq!(told(&listener), "", "sent to one out of service");
     assert_eq!(client.answer().unwrap().status(), 503);
 }
+
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_key_is_forgotten_is_not_sent() {
+    const REMEMBERED: Duration = Duration::from_millis(400);
+    // One backend runs the request and breaks; the connection to the other comes up late.
+    let (listener, late) = one_place();
+    let filler = Client::connect(late);
+    let record = Record::default();
+    let breaks = backend(&record, |_, _| Act::SayAndClose(Vec::new()));
+    let discovery = Discovery::start(all_up(&[breaks, late]));
+    let node = Node::start(discovery.address, |c| {
+        c["settings"]["limits"]["connectTimeoutMs"] = 5000.into();
+        for class in c["settings"]["classes"].as_array_mut().unwrap() {
+            class["objectiveMs"] = 3500.into();
+            class["keyTtlMs"] = (REMEMBERED.as_millis() as u64).into();
+        }
+    });
+    // Whose first candidate is the late one waits for its connection; the first other one is the case.
+    let mut clients = Vec::new();
+    for n in 1.. {
+        let mut client = Client::connect(node.address);
+        let head = format!(
+            "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: late-{n}\r\nX-Qos: pay\r\nX-Object: o{n}\r\n\
+             X-Expires-In-Ms: 4000\r\nIdempotency-Key: k{n}\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        assert!(client.send(head.as_bytes()));
+        clients.push(client);
+        wait_for("a handshake for each request", || tcp_count(late, SYN_SENT) == n);
+        if record.count() == 1 {
+            break;
+        }
+    }
+    thread::sleep(REMEMBERED);
+    // Whoever still asks for a connection gets it now, and would be served.
+    let served = Record::default();
+    backend_on(listener.into(), &served, Arc::new(|_, _| ok(b"x")));
+    let case = clients.last_mut().and_then(Client::answer);
+    assert_eq!(case.map(|m| m.status()), Some(503), "sent again after its key was forgotten");
+    drop(filler);
+}
