Take clients only once discovery has answered a new process, and ask within 2.5 s

To blame: call_span (up to 5 s with 300 nodes) paced the first call, Watch::run made it a watch, which says nothing where the list is up to date, and Driver::ready said yes by a list of unknown age. Now the spread is 2.5 s at most, the first call does not wait, and /up and the console's ready say no until it is answered, or for 4.5 s (1 s where lists are pushed).

Each new test was seen failing without its part. Two tests took the first call for a watch; they begin at the watch now and hold it to the same, one seen failing without the look beside the watch.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -490,7 +490,8 @@
     /// Time over which calls to discovery that all nodes make for one reason are spread: an outage starts all
     /// of them at once, and what waits in its queue for too long fails and is asked again.
     fn call_span(&self) -> f64 {
-        (CALL_MS * f64::from(self.s.instances.max(1) - 1)).min(self.s.must_ask_in_ms / 2.0)
+        let all = CALL_MS * f64::from(self.s.instances.max(1) - 1);
+        all.min(CALLS_MS).min(self.s.must_ask_in_ms / 2.0)
     }
 
     // ---- the list ----
@@ -1254,6 +1255,8 @@
 }
 /// What one call to discovery is held to take it, in milliseconds.
 const CALL_MS: f64 = 40.0;
+/// The longest that calls of all nodes are spread over: a node killed while its list changed waits no longer.
+const CALLS_MS: f64 = 2500.0;
 /// The longest pause after a failed call to discovery, in milliseconds: its changes count 6 s after they
 /// could be had, enough for two such pauses and two calls that wait their turn there, for 2 s at the most.
 const ASK_PAUSE_MS: f64 = 900.0;
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
 use tokio::time::error::Elapsed;
 
 /// How long a watch may wait for an update. Pushed lists cost nothing to ask for, and a short wait soon shows an
@@ -49,6 +50,11 @@
 const MOVED: Duration = Duration::from_secs(4);
 /// Until then a call that fails is made again after a pause of this at most, whatever the decisions' pace.
 const MOVED_PAUSE: Duration = Duration::from_millis(500);
+/// A process that starts has clients sent to it once discovery has answered: changes made while nobody listened may count
+/// at once. Where it is asked that takes the spread of the first calls, a turn there and some more; an agent is near.
+/// For longer than this an outage of discovery must not be one of the nodes that start in it.
+const ASKED_START: Duration = Duration::from_millis(4_500);
+const PUSHED_START: Duration = Duration::from_secs(1);
 /// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
 const PAUSE: Duration = Duration::from_millis(150);
 /// A watch without an update that took less than this has not waited.
@@ -167,6 +173,14 @@
 impl Watch {
     /// Runs until the driver is gone.
     pub async fn run(mut self, driver: Rc<Driver>) {
+        let start = if self.mode == Discovery::Pushed { PUSHED_START } else { ASKED_START };
+        let given = driver.clone();
+        spawn_local(async move {
+            tokio::time::sleep(start).await;
+            if given.trust_list() {
+                log::line("discovery: no answer since the start; serves by the list given there");
+            }
+        });
         let mut address = self.address.clone();
         let mut at = *address.borrow();
         let mut conn = None;
@@ -175,8 +189,8 @@
         let mut failed = 0_u32;
         // Since the last answer a call without one was made again at once.
         let mut repeated = false;
-        // The next call must not wait for an update: whether there is any is to be known soon.
-        let mut check = self.behind;
+        // The next call must not wait for an update: whether there is any is to be known soon, as at the start.
+        let mut check = true;
         // Until when what discovery has is to be known after a new configuration.
         let mut due_by = Instant::now();
         loop {
@@ -233,6 +247,7 @@
                         listing.tell(begun.elapsed());
                         let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
                         driver.take(Input::List(kind, listing.targets));
+                        driver.trust_list();
                     }
                     if lost || idle {
                         tokio::time::sleep(PAUSE).await;
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -203,6 +203,8 @@
     peers: Option<Rc<Peers>>,
     watch: mpsc::UnboundedSender<bool>,
     next: Cell<u64>,
+    /// The list is not only the one that the process was given: that may be long out of date.
+    current: Cell<bool>,
 }
 
 impl Driver {
@@ -226,6 +228,7 @@
             peers,
             watch,
             next: Cell::new(0),
+            current: Cell::new(false),
         })
     }
 
@@ -261,10 +264,15 @@
         }
     }
 
-    /// A request could be served.
+    /// A request could be served, by a list that is not out of date.
     pub fn ready(&self) -> bool {
         let core = self.core.borrow();
-        core.endpoints.keys().any(|id| core.routable(*id))
+        self.current.get() && core.endpoints.keys().any(|id| core.routable(*id))
+    }
+
+    /// From now on the list is gone by: discovery has told it, or does not answer. True the first time.
+    pub fn trust_list(&self) -> bool {
+        !self.current.replace(true)
     }
 
     /// Takes a backend out of service or puts it back; none for an id that neither the list nor an earlier call
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -765,6 +765,20 @@
     assert!(crowd(calls(1)) <= 20, "{} calls within 100 ms after a failure", crowd(calls(1)));
 }
 
+#[test]
+fn however_many_nodes_there_are_a_new_one_asks_discovery_soon() {
+    // What changed while it was down may count as told a moment after its start.
+    for (instances, must_ask_in_ms) in [(1, 10_000.0), (30, 10_000.0), (350, 10_000.0), (350, 60_000.0)] {
+        let s = Settings { discovery: Discovery::OnRequest, instances, must_ask_in_ms, ..settings() };
+        for seed in 0..100 {
+            let mut w = World::new(s.clone(), seed);
+            w.list(ListKind::Saved, vec![up(1)]);
+            w.wait(2500.0);
+            assert_eq!(w.watches.len(), 1, "{instances} nodes, seed {seed}: not asked within 2.5 s");
+        }
+    }
+}
+
 // ---- bad input ----
 
 #[test]
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -366,6 +366,12 @@
         self.state.1.notify_all();
     }
 
+    /// Another count of versions begins, with this list; it wakes no watch.
+    pub fn count_anew(&self, rev: u64, targets: Vec<Value>) {
+        let mut state = self.state.0.lock().unwrap();
+        (state.rev, state.targets) = (rev, targets);
+    }
+
     /// Tells these alone.
     pub fn change(&self, targets: Vec<Value>) {
         self.state.0.lock().unwrap().changes = true;
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -183,6 +183,66 @@
     wait_by(begun + Duration::from_secs(10), "/up is 200", || node.up() == 200);
 }
 
+#[test]
+fn a_process_that_starts_with_an_old_list_is_ready_once_discovery_has_answered() {
+    for mode in ["on_request", "pushed"] {
+        let (leaving, staying) = (Record::default(), Record::default());
+        let addresses = [backend(&leaving, |_, _| ok(b"x")), backend(&staying, |_, _| ok(b"x"))];
+        let mut targets = all_up(&addresses);
+        let known = json!({"rev": 1, "all": true, "targets": targets.clone()});
+        let discovery = Discovery::start(targets.clone());
+        // It left while no process of this node was there to hear it.
+        targets[0] = target("s-0", addresses[0], "draining");
+        discovery.set(targets);
+        discovery.silent(true);
+        let node = Node::launch(
+            discovery.address,
+            |c| {
+                c["settings"]["membershipMode"] = mode.into();
+                c["known"] = known;
+            },
+            "exec \"$0\"",
+        );
+        wait_for("discovery is asked", || discovery.calls() > 0);
+        assert_eq!(node.up(), 503, "{mode}: ready by a list of unknown age");
+        discovery.silent(false);
+        wait_for("/up is 200", || node.up() == 200);
+        leaves_alone(&node, &leaving, &staying);
+    }
+}
+
+#[test]
+fn a_process_whose_list_is_up_to_date_need_not_wait_for_an_update_to_be_ready() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let known = json!({"rev": 1, "all": true, "targets": all_up(&addresses)});
+    let _node = Node::start(discovery.address, |c| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["known"] = known;
+    });
+    let asked = discovery.asked();
+    assert!(asked[0].contains("after=1&wait_ms=0 "), "{asked:?}");
+}
+
+#[test]
+fn a_process_that_starts_while_discovery_is_silent_goes_on_by_its_list_in_time() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    discovery.silent(true);
+    let known = json!({"rev": 1, "all": true, "targets": all_up(&addresses)});
+    let begun = Instant::now();
+    let many = |c: &mut Value| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["settings"]["instances"] = 300.into();
+        c["known"] = known;
+    };
+    let node = Node::launch(discovery.address, many, "exec \"$0\"");
+    wait_by(begun + Duration::from_secs(6), "/up is 200", || node.up() == 200);
+    assert_eq!(ask(node.address, &request("page", 900)).status(), 200);
+}
+
 /// A node of many that asks for its list of a discovery with two backends, one of which is about to leave.
 fn asks_with_two_backends() -> (Discovery, Vec<Value>, Node, [Record; 2]) {
     let records = [Record::default(), Record::default()];
@@ -233,13 +293,19 @@
     let addresses = backends(1, &record, |_, _| ok(b"x"));
     let (listener, address) = one_place();
     let known = json!({"rev": 41, "all": true, "targets": all_up(&addresses)});
-    let node = Node::start(address, |c| {
+    let old = |c: &mut Value| {
         c["settings"]["membershipMode"] = "on_request".into();
         c["known"] = known;
-    });
+    };
+    let node = Node::launch(address, old, "exec \"$0\"");
     let mut watch = std::net::TcpStream::from(listener.accept().unwrap().0);
-    let asked = Message::read(&mut BufReader::new(watch.try_clone().unwrap())).unwrap();
-    assert!(asked.first_line.contains("after=41&wait_ms="), "{}", asked.first_line);
+    let mut calls = BufReader::new(watch.try_clone().unwrap());
+    let asked = Message::read(&mut calls).unwrap().first_line;
+    assert!(asked.contains("after=41&wait_ms=0 "), "{asked}");
+    watch.write_all(&reply("200 OK", "", br#"{"rev": 41, "all": false, "targets": []}"#)).unwrap();
+    let asked = Message::read(&mut calls).unwrap().first_line;
+    assert!(asked.contains("after=41&wait_ms=60000 "), "{asked}");
+    wait_for("/up is 200", || node.up() == 200);
     // From now on no connection comes up.
     let _filler = Client::connect(address);
     wait_by(Instant::now() + 3 * PATIENCE, "the next watch has no connection", || {
@@ -254,12 +320,11 @@
 fn a_list_from_a_higher_count_than_that_of_discovery_does_not_last() {
     let record = Record::default();
     let addresses = backends(1, &record, |_, _| ok(b"x"));
-    let discovery = Discovery::start(vec![target("s-0", addresses[0], "draining")]);
-    let known = json!({"rev": 41, "all": true, "targets": all_up(&addresses)});
-    let node = Node::start(discovery.address, |c| {
-        c["settings"]["membershipMode"] = "on_request".into();
-        c["known"] = known;
-    });
+    let discovery = Discovery::start(all_up(&addresses));
+    discovery.count_anew(41, all_up(&addresses));
+    let node = Node::start(discovery.address, |c| c["settings"]["membershipMode"] = "on_request".into());
+    wait_for("a watch is out", || discovery.calls() >= 2);
+    discovery.count_anew(1, vec![target("s-0", addresses[0], "draining")]);
     // Nothing newer than that will come in the time that its watch may wait.
     wait_by(Instant::now() + 3 * PATIENCE, "the whole list is asked for", || node.up() == 503);
 }
