Judge what comes behind an answer only where the backend was as quick as scripted

what_comes_behind_an_answer_answers_nothing failed in one of six runs beside a loaded machine: its backend sends a surplus 2 ms behind the answer, and a machine that holds it up for over 10 ms, after which a connection is used again, proves nothing about the node. The backend now notes how long its pause really was, and the rounds after one of 10 ms or more are left out.

--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -7,7 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -180,6 +180,8 @@
     pub seen: Arc<Mutex<Vec<Message>>>,
     pub opened: Arc<AtomicU32>,
     pub closed: Arc<AtomicU32>,
+    /// Between the two parts of an answer, as it was: a busy machine makes it longer than the script has it.
+    pub longest_pause_ms: Arc<AtomicU64>,
 }
 
 impl Record {
@@ -250,7 +252,10 @@
                         }
                         Act::SayAndThen(bytes, wait, rest) => {
                             let _ = stream.write_all(&bytes);
+                            let said = Instant::now();
                             thread::sleep(wait);
+                            let took = u64::try_from(said.elapsed().as_millis()).unwrap_or(u64::MAX);
+                            record.longest_pause_ms.fetch_max(took, Ordering::SeqCst);
                             let _ = stream.write_all(&rest);
                         }
                         Act::SayWhenOpen(gate, bytes) => {
--- a/tests/node_spoilt.rs
+++ b/tests/node_spoilt.rs
@@ -99,6 +99,10 @@
         let mut client = Client::connect(node.address);
         for n in 0..20 {
             let answer = client.ask(&request("bid", 900));
+            // A connection is used again 10 ms after an answer: a machine that is busy for so long shows nothing.
+            if record.longest_pause_ms.load(Ordering::SeqCst) >= 10 {
+                break;
+            }
             assert_eq!((answer.status(), answer.body), (200, right(n)), "later: {later}");
         }
     }
