Ask an agent that is late again beside the call it has not answered

Lists are pushed there, and the agent never answers what it was asked while it was silent: six nodes waited for such a call from 7.12 s to 8.62 s, while servers began to drain at 8.02 s and that counted at once.

To blame: Watch::call, one call at a time with up to 1.5 s each. Watch::ask makes further ones beside it, 0.1 s after its wait and then each 0.2 s, and takes the first answer; a watch at an agent waits for 0.15 s (2 s before).

The new test was seen failing without the change.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -11,16 +11,22 @@
 use serde_json::Value;
 use std::cell::Cell;
 use std::error::Error;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::error::Elapsed;
 
 /// How long a watch may wait for an update. Pushed lists cost nothing to ask for, and a short wait soon shows an
-/// agent that has fallen silent.
-const PUSHED_WAIT: Duration = Duration::from_secs(2);
+/// agent that has fallen silent: what it gets at its return counts at once.
+const PUSHED_WAIT: Duration = Duration::from_millis(150);
+/// An agent that has not answered by so long after that is asked again beside, and then each `PUSHED_AGAIN`: what it was
+/// asked while it was silent it may never answer.
+const PUSHED_LATE: Duration = Duration::from_millis(100);
+const PUSHED_AGAIN: Duration = Duration::from_millis(200);
 /// Where it is asked, as long as the protocol allows: an update that a silent watch misses counts as told 2 s after its
 /// wait, and from silence alone nobody can tell that there is none.
 const ASKED_WAIT: Duration = Duration::from_secs(60);
@@ -35,10 +41,9 @@
 const SPREAD: f64 = 0.25;
 /// What an answer may take beyond the wait. A call waits its turn at the one service of all nodes, which fails it after
 /// 2 s; more time would have what a silent call misses count as told before the next is answered. An agent answers
-/// at once; it is given more from one failed call to the next, up to `MOST_PATIENCE` times.
-const PUSHED_ANSWER: Duration = Duration::from_millis(500);
+/// at once, but for one that is slow.
+const PUSHED_ANSWER: Duration = Duration::from_millis(1_500);
 const ASKED_ANSWER: Duration = Duration::from_millis(2_200);
-const MOST_PATIENCE: u32 = 3;
 /// Discovery that does not take a connection by then is not there; an agent is near, and what it has counts at once.
 const PUSHED_CONNECT: Duration = Duration::from_millis(100);
 const ASKED_CONNECT: Duration = Duration::from_millis(1_000);
@@ -220,7 +225,7 @@
             let every = LOOKED_AFTER.mul_f64(1.0 - SPREAD * self.rng.f64());
             // A call to where discovery was is given up: its answer would be that of another list.
             let answered = tokio::select! {
-                answered = self.call(at, &mut conn, rev, (!check).then_some(every), failed) => answered,
+                answered = self.call(at, &mut conn, rev, (!check).then_some(every)) => answered,
                 Ok(()) = address.changed() => continue,
             };
             match answered {
@@ -289,10 +294,9 @@
         conn: &mut Option<Conn>,
         rev: Option<u64>,
         watch: Option<Duration>,
-        failed: u32,
     ) -> Result<Option<Listing>, Box<dyn Error>> {
         let (wait, answer) = match self.mode {
-            Discovery::Pushed => (PUSHED_WAIT, PUSHED_ANSWER * failed.saturating_add(1).min(MOST_PATIENCE)),
+            Discovery::Pushed => (PUSHED_WAIT, PUSHED_ANSWER),
             Discovery::OnRequest => (ASKED_WAIT, ASKED_ANSWER),
         };
         let wait = rev.and(watch).map_or(Duration::ZERO, |_| wait);
@@ -304,7 +308,7 @@
             }
         };
         let looked = tokio::select! {
-            answered = tokio::time::timeout(wait + answer, self.exchange(at, conn, rev, wait, answer)) => {
+            answered = tokio::time::timeout(wait + answer, self.ask(at, conn, rev, wait, answer)) => {
                 return Ok(Some(answered??));
             }
             looked = looked => looked,
@@ -313,6 +317,54 @@
         Ok(looked)
     }
 
+    /// One call, and further ones beside it to an agent that does not answer in time: the first answer is taken.
+    async fn ask(
+        &self,
+        at: SocketAddr,
+        kept: &mut Option<Conn>,
+        rev: Option<u64>,
+        wait: Duration,
+        body_time: Duration,
+    ) -> Result<Listing, Box<dyn Error>> {
+        if self.mode == Discovery::OnRequest {
+            return self.exchange(at, kept, rev, wait, body_time).await;
+        }
+        let call = |mut conn: Option<Conn>, wait| {
+            Box::pin(async move {
+                let listing = self.exchange(at, &mut conn, rev, wait, body_time).await?;
+                Ok::<_, Box<dyn Error>>((listing, conn))
+            })
+        };
+        let mut calls = vec![call(kept.take(), wait)];
+        let late = tokio::time::Instant::now() + wait + PUSHED_LATE;
+        let mut again = tokio::time::interval_at(late, PUSHED_AGAIN);
+        loop {
+            let ended = poll_fn(|cx| {
+                let ended =
+                    calls.iter_mut().enumerate().find_map(|(n, call)| match call.as_mut().poll(cx) {
+                        Poll::Ready(end) => Some((n, end)),
+                        Poll::Pending => None,
+                    });
+                ended.map_or(Poll::Pending, Poll::Ready)
+            });
+            tokio::select! {
+                biased;
+                (n, end) = ended => {
+                    drop(calls.swap_remove(n));
+                    match end {
+                        Ok((listing, conn)) => {
+                            *kept = conn;
+                            return Ok(listing);
+                        }
+                        Err(e) if calls.is_empty() => return Err(e),
+                        Err(_) => {}
+                    }
+                }
+                _ = again.tick() => calls.push(call(None, Duration::ZERO)),
+            }
+        }
+    }
+
     /// Asks now and then, beside a watch that brings nothing, what changed since `rev`: what a silent watch misses, and
     /// a count that began anew, show in no other way before its end. None where it is time for the next watch; the
     /// present one is not given up before.
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -285,6 +285,9 @@
 
 #[derive(Default)]
 struct ListState {
+    /// What comes is not heard; so many calls were not, and are still open.
+    deaf: bool,
+    unheard: usize,
     rev: u64,
     targets: Vec<Value>,
     /// The targets are what changed, not all.
@@ -341,6 +344,14 @@
             let mut state = lock.lock().unwrap();
             state.calls += 1;
             state.asked.push(message.first_line.clone());
+            if state.deaf {
+                state.unheard += 1;
+                drop(state);
+                // Its end shows that the call was given up.
+                let _ = reader.read(&mut [0]);
+                self.state.0.lock().unwrap().unheard -= 1;
+                return;
+            }
             while state.silent
                 || (state.watches_silent && wait > 0)
                 || (!state.hasty && state.rev <= after && Instant::now() < end)
@@ -383,6 +394,16 @@
         self.set(targets);
     }
 
+    /// Whether what it is asked from now on is never answered, also later.
+    pub fn deaf(&self, deaf: bool) {
+        self.state.0.lock().unwrap().deaf = deaf;
+    }
+
+    /// How many calls of that time are still waited for.
+    pub fn unheard(&self) -> usize {
+        self.state.0.lock().unwrap().unheard
+    }
+
     pub fn silent(&self, silent: bool) {
         self.state.0.lock().unwrap().silent = silent;
         self.state.1.notify_all();
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -334,6 +334,25 @@
     silence_is_overcome("pushed", 1, |wait| Duration::from_secs(6).max(wait + Duration::from_secs(2)));
 }
 
+#[test]
+fn an_agent_that_has_not_heard_a_call_is_asked_again_beside_it() {
+    let (leaving, staying) = (Record::default(), Record::default());
+    let addresses = [backend(&leaving, |_, _| ok(b"x")), backend(&staying, |_, _| ok(b"x"))];
+    let mut targets = all_up(&addresses);
+    let discovery = Discovery::start(targets.clone());
+    let node = Node::start(discovery.address, |_| {});
+    discovery.deaf(true);
+    wait_for("a call is not heard", || discovery.unheard() == 1);
+    // What the agent gets at its return counts at once: no time to wait for the end of that call.
+    wait_for("the next comes while it is open", || discovery.unheard() >= 2);
+    targets[0] = target("s-0", addresses[0], "draining");
+    discovery.set(targets);
+    discovery.deaf(false);
+    wait_for("the next is answered, and those are given up", || discovery.unheard() == 0);
+    wait_for("a watch is out", || discovery.asked().last().is_some_and(|call| call.contains("after=2&")));
+    leaves_alone(&node, &leaving, &staying);
+}
+
 #[test]
 fn a_drain_told_during_the_handshake_stops_the_send() {
     let (listener, address) = one_place();
