End a new process's wait for discovery when its call fails at once

A call that waits its turn is failed after 2 s, so one that fails within a second tells that discovery is down and nothing newer is to be had. The new test was written with the change; it waits less than the 4.5 s it took before.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -60,6 +60,8 @@
 /// For longer than this an outage of discovery must not be one of the nodes that start in it.
 const ASKED_START: Duration = Duration::from_millis(4_500);
 const PUSHED_START: Duration = Duration::from_secs(1);
+/// A call that discovery fails so soon has not waited its turn there.
+const DOWN: Duration = Duration::from_secs(1);
 /// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
 const PAUSE: Duration = Duration::from_millis(150);
 /// A watch without an update that took less than this has not waited.
@@ -263,6 +265,10 @@
                     failed = failed.saturating_add(1);
                     // What was missed counts as told soon. A watch that is silent in its turn would not show it.
                     check = true;
+                    // A call that waits its turn is failed later than that: discovery is down, and its list not to be had.
+                    if begun.elapsed() < DOWN && !unheard(&*e) {
+                        driver.trust_list();
+                    }
                     if failed.is_power_of_two() {
                         log::line(&format!("discovery: no answer to {failed} calls in a row: {e}"));
                     }
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -225,6 +225,23 @@
     assert!(asked[0].contains("after=1&wait_ms=0 "), "{asked:?}");
 }
 
+#[test]
+fn a_process_that_starts_while_discovery_is_down_does_not_wait_for_it() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    discovery.refuse(1000);
+    let known = json!({"rev": 1, "all": true, "targets": all_up(&addresses)});
+    let begun = Instant::now();
+    let asks = |c: &mut Value| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["known"] = known;
+    };
+    let node = Node::launch(discovery.address, asks, "exec \"$0\"");
+    // Less than it would wait for a call that waits its turn.
+    wait_by(begun + Duration::from_secs(4), "/up is 200", || node.up() == 200);
+}
+
 #[test]
 fn a_process_that_starts_while_discovery_is_silent_goes_on_by_its_list_in_time() {
     let record = Record::default();
