--- a/tests/known_failures.rs
+++ b/tests/known_failures.rs
@@ -108,7 +108,8 @@
     }
     fails("four", &log, Some(&list), 101, "4 tests are listed; 3 at most");
     let log = format!("{PASSING}{FAILING}");
-    for line in ["second::part::broken", "second::part::broken | cause", "second::part::broken | | issue 7"] {
+    for line in ["second::part::broken", "second::part::broken | cause", "second::part::broken | | issue 7"]
+    {
         fails("form", &log, Some(line), 101, "not 'test | cause | issue N'");
     }
 }
@@ -117,6 +118,7 @@
 fn a_run_that_breaks_off_fails_whatever_is_listed() {
     fails("build", "error: could not compile\n", None, 101, "no test ran");
     fails("status", PASSING, None, 101, "ended with 101 though no test failed");
-    let killed = format!("{PASSING}     Running tests/third.rs (target/debug/deps/third-00)\ntest a ... ok\n");
+    let killed =
+        format!("{PASSING}     Running tests/third.rs (target/debug/deps/third-00)\ntest a ... ok\n");
     fails("killed", &killed, None, 101, "3 test binaries began and 2 ended");
 }
--- /dev/null
+++ b/tests/node/faults.rs
@@ -0,0 +1,86 @@
+//! System calls that fail in a node under test: the preloaded library of `tests/shim/faults.c`.
+
+use std::fs::File;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// What can be made to fail, in the order of the library's control file. A rate of N fails one call in N.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u64)]
+pub enum Fault {
+    Seed,
+    WallOffsetMs,
+    InterruptedIo,
+    ShortIo,
+    ShortBytes,
+    InterruptedWait,
+    AcceptFails,
+    ConnectFails,
+    SocketFails,
+    BrokenIo,
+    HeldSend,
+    HoldMs,
+    WriteFails,
+    WriteHalves,
+    SyncFails,
+    RenameFails,
+    KillInWrite,
+}
+
+const NUMBERS: usize = Fault::KillInWrite as usize + 1;
+
+/// The library, built once for each test binary.
+fn library() -> &'static Path {
+    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+    LIBRARY.get_or_init(|| {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let path = folder.join(format!("libfaults-{}.so", std::process::id()));
+        let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/shim/faults.c");
+        let mut compile = Command::new("cc");
+        compile
+            .args(["-O2", "-Wall", "-Wextra", "-Werror", "-shared", "-fPIC", "-o"])
+            .arg(&path)
+            .arg(source);
+        assert!(compile.arg("-ldl").status().unwrap().success(), "tests/shim/faults.c does not compile");
+        path
+    })
+}
+
+/// The faults of one process or of several, which can be changed while they run.
+pub struct Faults {
+    path: PathBuf,
+    file: File,
+}
+
+impl Faults {
+    /// With no fault set yet.
+    pub fn new(seed: i64) -> Faults {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("faults-{}-{n}", std::process::id());
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::write(&path, vec![0; NUMBERS * 8]).unwrap();
+        let file = File::options().write(true).open(&path).unwrap();
+        let faults = Faults { path, file };
+        faults.set(Fault::Seed, seed);
+        faults
+    }
+
+    pub fn set(&self, fault: Fault, value: i64) {
+        self.file.write_all_at(&value.to_ne_bytes(), fault as u64 * 8).unwrap();
+    }
+
+    /// Has a process meet them.
+    pub fn preload(&self, command: &mut Command) {
+        command.env("LD_PRELOAD", library()).env("FAULTS_CONTROL", &self.path);
+    }
+}
+
+impl Drop for Faults {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -1,6 +1,9 @@
 //! A node under test: the real binary, with small fake backends, discovery and clients on loopback.
 #![allow(dead_code)]
 
+pub mod faults;
+
+use faults::Faults;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
@@ -471,6 +474,13 @@
         node
     }
 
+    /// The same, with system calls that fail.
+    pub fn start_with(discovery: SocketAddr, faults: &Faults, change: impl FnOnce(&mut Value)) -> Node {
+        let node = Node::spawn(discovery, free_address(), change, "exec \"$0\"", |c| faults.preload(c));
+        wait_for("/up is 200", || node.up() == 200);
+        node
+    }
+
     /// Starts one by a shell command in which `$0` is the program.
     pub fn launch(discovery: SocketAddr, change: impl FnOnce(&mut Value), command: &str) -> Node {
         Node::spawn(discovery, free_address(), change, command, |_| {})
@@ -482,14 +492,32 @@
         listener: &TcpListener,
         tmp: &std::path::Path,
         change: impl FnOnce(&mut Value),
+    ) -> Node {
+        Node::inherit_with(discovery, listener, tmp, change, |_| {})
+    }
+
+    /// The same, with a word on how its process is started.
+    pub fn inherit_with(
+        discovery: SocketAddr,
+        listener: &TcpListener,
+        tmp: &std::path::Path,
+        change: impl FnOnce(&mut Value),
+        set_up: impl FnOnce(&mut Command),
     ) -> Node {
         let socket = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
         let address = listener.local_addr().unwrap();
         Node::spawn(discovery, address, change, "exec \"$0\" 3<&0 0</dev/null", |c| {
             c.stdin(socket).env("LB_INHERITED_FD", "3").env("TMPDIR", tmp);
+            set_up(c);
         })
     }
 
+    /// Ends it at once, as the system does with SIGKILL.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     fn spawn(
         discovery: SocketAddr,
         address: SocketAddr,
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -3,7 +3,8 @@
  *
  * FAULTS_CONTROL names a file of 64-bit numbers in the order of `enum control`; it is mapped, so that a test can
  * change the numbers while the process runs. A rate of N makes one call in N fail, chosen by a seeded generator;
- * 0 turns that fault off. Only TCP sockets and regular files other than the standard streams are touched.
+ * 0 turns that fault off. Only sockets and regular files other than the standard streams are touched, and all but
+ * EINTR concerns TCP sockets alone.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -79,6 +80,11 @@
 
 #define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
+static int is_socket(int fd) {
+    struct stat found;
+    return fstat(fd, &found) == 0 && S_ISSOCK(found.st_mode);
+}
+
 static int is_tcp(int fd) {
     int domain = 0, type = 0;
     socklen_t length = sizeof domain;
@@ -95,11 +101,12 @@
 
 /* What becomes of a call on a socket: -1 with errno, or how many bytes it may move. */
 static ssize_t allowance(int fd, size_t wanted) {
-    if (!control || wanted == 0 || !is_tcp(fd)) return (ssize_t)wanted;
+    if (!control || wanted == 0 || !is_socket(fd)) return (ssize_t)wanted;
     if (happens(INTERRUPTED_IO)) {
         errno = EINTR;
         return -1;
     }
+    if (!is_tcp(fd)) return (ssize_t)wanted;
     if (happens(BROKEN_IO)) {
         shutdown(fd, SHUT_RDWR);
         return FAIL(ETIMEDOUT, EHOSTUNREACH);
