Read signals through a socket whose reads may be interrupted

The runtime's own signal driver panics where a read of its socket pair fails with EINTR ("Bad read on self-pipe"): with one socket call in 11 interrupted, a node ended at one of its first SIGHUPs.

signal-hook sets a flag and writes the byte; the byte only wakes the loop, the flag counts, and it is looked at each 0.1 s in case the byte was lost.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -9,7 +9,9 @@
 mod peers;
 mod request;
 mod server;
+mod signals;
 mod socket;
+mod system;
 mod upstream;
 
 use crate::config::Config;
@@ -20,6 +22,7 @@
 use crate::peers::Peers;
 use crate::request::Reader;
 use crate::server::Server;
+use crate::signals::Signals;
 use crate::socket::Descriptors;
 use crate::upstream::Upstream;
 use birchspoke::Balancer;
@@ -31,7 +34,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -61,8 +63,9 @@
 
 /// Reads the configuration again whenever told to. Where discovery is may change under way; all else holds
 /// from start to end. A file that is wrong changes nothing.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
-    while hangup.recv().await.is_some() {
+async fn reload(mut hangup: Signals, discovery: watch::Sender<SocketAddr>) {
+    loop {
+        hangup.recv().await;
         match Config::reload() {
             Ok(config) => {
                 log::line(&format!("configuration read again: discovery is at {}", config.discovery));
@@ -75,8 +78,8 @@
 
 async fn run(inherited: Option<std::net::TcpListener>) -> Result<(), Box<dyn Error>> {
     // Before all else: what these signals do by default is to end the process.
-    let mut terminate = signal(SignalKind::terminate())?;
-    let hangup = signal(SignalKind::hangup())?;
+    let mut terminate = Signals::terminate()?;
+    let hangup = Signals::hangup()?;
     let config = Config::load().map_err(|e| format!("configuration: {e}"))?;
     // Where the platform holds the listening socket, another process may serve beside this one.
     let version = Rc::new(Cell::new(None));
--- /dev/null
+++ b/src/node/signals.rs
@@ -0,0 +1,54 @@
+//! Signals of the platform, from a handler to the event loop.
+//!
+//! The handler sets a flag and writes a byte to a socket pair, which wakes the loop. Neither that write nor the read
+//! of it is trusted: a call that is interrupted may lose the byte, so the flag is also looked at now and then.
+
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::{flag, low_level};
+use std::io;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::UnixStream;
+
+/// How soon a signal is noticed whose byte was lost. The time between SIGTERM and SIGKILL is short of nothing else.
+const LOST_BYTE: Duration = Duration::from_millis(100);
+
+/// One kind of signal. Several that come at once may be told as one.
+pub struct Signals {
+    raised: Arc<AtomicBool>,
+    wake: UnixStream,
+}
+
+impl Signals {
+    /// SIGTERM: the process is to end.
+    pub fn terminate() -> io::Result<Signals> {
+        Signals::of(SIGTERM)
+    }
+
+    /// SIGHUP: there is a new configuration.
+    pub fn hangup() -> io::Result<Signals> {
+        Signals::of(SIGHUP)
+    }
+
+    fn of(signal: i32) -> io::Result<Signals> {
+        let raised = Arc::new(AtomicBool::new(false));
+        let (wake, handler) = StdUnixStream::pair()?;
+        wake.set_nonblocking(true)?;
+        // In this order: whoever is woken finds the flag set.
+        flag::register(signal, raised.clone())?;
+        low_level::pipe::register(signal, handler)?;
+        Ok(Signals { raised, wake: UnixStream::from_std(wake)? })
+    }
+
+    /// Waits for the next one.
+    pub async fn recv(&mut self) {
+        while !self.raised.swap(false, Ordering::SeqCst) {
+            // Late or in error, the flag decides.
+            let _ = tokio::time::timeout(LOST_BYTE, self.wake.readable()).await;
+            let mut bytes = [0; 64];
+            let _ = self.wake.try_read(&mut bytes);
+        }
+    }
+}
