Tell what this machine could not do from what the other side did

Errors of system calls were taken for the other side's. Each failed accept closed an idle connection.

src/node/system.rs now says what an error means. Interrupted calls are made again at once; a connect that could not begin is begun again until its time is over and then ends as never sent; ENOBUFS and ENOMEM of a write wait a turn; an accept that fails closes something only where this process itself is out of descriptors. A call to discovery that this machine could not make no longer shows that discovery is down.

--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -7,7 +7,8 @@
 use crate::handover::Handover;
 use crate::log;
 use crate::server::Server;
-use crate::socket::Descriptors;
+use crate::socket::{Descriptors, Socket};
+use crate::system::{AcceptError, Acceptor};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -138,13 +139,16 @@
 
     /// Takes callers for as long as the node lives.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let acceptor = Acceptor::new(listener);
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => self.receive(stream),
-                Err(e) => {
-                    log::line(&format!("console: accept: {e}"));
-                    self.descriptors.relieve();
-                    tokio::time::sleep(Duration::from_millis(5)).await;
+            match acceptor.accept().await {
+                Ok(stream) => self.receive(stream),
+                Err(error) => {
+                    log::line(&format!("console: accept: {error}"));
+                    if matches!(error, AcceptError::OutOfDescriptors) {
+                        self.descriptors.relieve();
+                    }
+                    acceptor.pause(&error).await;
                 }
             }
         }
@@ -161,14 +165,14 @@
         let (stay, gone) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, stay);
         let place = Place(self.clone(), number);
-        let slot = self.descriptors.take_own();
+        let socket = Socket::new(stream, self.descriptors.take_own());
         spawn_local(async move {
-            place.0.converse(stream, number, gone).await;
-            drop((slot, place));
+            place.0.converse(socket, number, gone).await;
+            drop(place);
         });
     }
 
-    async fn converse(&self, mut stream: TcpStream, number: u64, gone: oneshot::Receiver<()>) {
+    async fn converse(&self, mut stream: Socket, number: u64, gone: oneshot::Receiver<()>) {
         let mut line = Vec::new();
         let read = tokio::select! {
             read = tokio::time::timeout(PATIENCE, whole_line(&mut stream, &mut line)) => read,
@@ -190,7 +194,7 @@
             stream.write_all(answer.as_bytes()).await?;
             stream.shutdown().await?;
             let mut scrap = [0; LONGEST];
-            while stream.read(&mut scrap).await? > 0 {}
+            while AsyncReadExt::read(&mut stream, &mut scrap).await? > 0 {}
             Ok::<_, std::io::Error>(())
         };
         // A caller that does not take its answer has gone.
@@ -230,10 +234,10 @@
 }
 
 /// Reads up to the first line's end, which is not kept.
-async fn whole_line(stream: &mut TcpStream, line: &mut Vec<u8>) -> Result<(), NoCall> {
+async fn whole_line(stream: &mut Socket, line: &mut Vec<u8>) -> Result<(), NoCall> {
     let mut piece = [0; LONGEST];
     loop {
-        let n = stream.read(&mut piece).await.map_err(|_| NoCall::Unfinished)?;
+        let n = AsyncReadExt::read(stream, &mut piece).await.map_err(|_| NoCall::Unfinished)?;
         let piece = piece.get(..n).filter(|p| !p.is_empty()).ok_or(NoCall::Unfinished)?;
         let end = piece.iter().position(|b| *b == b'\n');
         line.extend_from_slice(piece.get(..end.unwrap_or(n)).unwrap_or(piece));
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -3,6 +3,7 @@
 use crate::driver::{Driver, Input, Target};
 use crate::log;
 use crate::socket::Descriptors;
+use crate::system::ConnectError;
 use crate::upstream::{Conn, Failure, Sending};
 use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use birchspoke::wire::{Names, stable_hash};
@@ -266,7 +267,7 @@
                     // What was missed counts as told soon. A watch that is silent in its turn would not show it.
                     check = true;
                     // A call that waits its turn is failed later than that: discovery is down, and its list not to be had.
-                    if begun.elapsed() < DOWN && !unheard(&*e) {
+                    if begun.elapsed() < DOWN && !unheard(&*e) && !not_asked(&*e) {
                         driver.trust_list();
                     }
                     if failed.is_power_of_two() {
@@ -402,7 +403,8 @@
 
     async fn connect(&self, at: SocketAddr) -> Result<Conn, Box<dyn Error>> {
         let limit = if self.mode == Discovery::Pushed { PUSHED_CONNECT } else { ASKED_CONNECT };
-        tokio::time::timeout(limit, Conn::open(at, self.descriptors.take_own(), LIST_BUFFER)).await?
+        let deadline = Instant::now() + limit;
+        Ok(Conn::open(at, deadline, self.descriptors.take_own(), LIST_BUFFER).await?)
     }
 
     async fn exchange(
@@ -435,5 +437,11 @@
 
 /// Nothing came in time, or nothing that can be read: discovery did not say no.
 fn unheard(e: &(dyn Error + 'static)) -> bool {
-    e.is::<Elapsed>() || e.is::<serde_json::Error>() || matches!(e.downcast_ref(), Some(Failure::Spoilt))
+    let late = e.is::<Elapsed>() || matches!(e.downcast_ref(), Some(ConnectError::TimedOut));
+    late || e.is::<serde_json::Error>() || matches!(e.downcast_ref(), Some(Failure::Spoilt))
+}
+
+/// This machine could not ask: that says nothing of discovery.
+fn not_asked(e: &(dyn Error + 'static)) -> bool {
+    matches!(e.downcast_ref(), Some(ConnectError::Local(_)))
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::{Driver, Input};
 use crate::log;
+use crate::system::interrupted;
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -52,7 +53,7 @@
             None => self.all.map_or_else(others, |all| vec![all]),
         };
         for target in targets {
-            let _ = self.socket.try_send_to(bytes, target);
+            while self.socket.try_send_to(bytes, target).is_err_and(|e| interrupted(&e)) {}
         }
     }
 
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -4,7 +4,8 @@
 use crate::driver::{Answer, Driver};
 use crate::log;
 use crate::request::{LocalReply, Reader, Reading, closing, full, plain};
-use crate::socket::{Descriptors, Slot, Socket, out_of_descriptors};
+use crate::socket::{Descriptors, Slot, Socket};
+use crate::system::{AcceptError, Acceptor};
 use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
@@ -290,6 +291,7 @@
 
     /// Takes connections until told to stop, and then for as long as they still come.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
+        let acceptor = Acceptor::new(listener);
         let mut last = Instant::now();
         let mut last_looks = BACKLOG;
         loop {
@@ -305,9 +307,9 @@
                 }
             };
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                accepted = acceptor.accept() => accepted,
                 // Who came while this node had no turn waits in the backlog, and no more than that holds.
-                () = quiet => match tokio::time::timeout(LAST_LOOK, listener.accept()).await {
+                () = quiet => match tokio::time::timeout(LAST_LOOK, acceptor.accept()).await {
                     Ok(accepted) if last_looks > 0 => {
                         last_looks -= 1;
                         accepted
@@ -317,18 +319,20 @@
                 () = self.stop.notified() => continue,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok(stream) => {
                     last = Instant::now();
                     // Under pressure this waits for a place: others wait in the backlog and are taken then.
                     let slot = self.descriptors.take_for_client().await;
                     self.serve(stream, slot);
                 }
-                Err(e) => {
-                    // Out of descriptors, or a client that has gone already: neither may end the node or
-                    // keep it or its log busy.
-                    self.reject(if out_of_descriptors(&e) { "no descriptor" } else { "gone already" });
-                    self.descriptors.relieve();
-                    tokio::time::sleep(Duration::from_millis(5)).await;
+                Err(error) => {
+                    // This may neither end the node nor keep it or its log busy. Only where this process has no
+                    // descriptor left does the close of something idle help.
+                    self.reject(error.text());
+                    if matches!(error, AcceptError::OutOfDescriptors) {
+                        self.descriptors.relieve();
+                    }
+                    acceptor.pause(&error).await;
                 }
             }
         }
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -1,5 +1,6 @@
 //! One TCP socket that counts what goes through it, and the count of all of them against the limit.
 
+use crate::system::{interrupted, out_of_buffers};
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
@@ -21,11 +22,6 @@
 /// Closes something idle. True: a descriptor was freed at once; false: none was, or it will be soon.
 type Reclaim = Box<dyn Fn() -> bool>;
 
-/// The process or the whole machine has no descriptor left (EMFILE, ENFILE).
-pub fn out_of_descriptors(e: &io::Error) -> bool {
-    matches!(e.raw_os_error(), Some(23 | 24))
-}
-
 /// How many descriptors the system lets this process hold, where it says so.
 pub fn system_limit() -> Option<usize> {
     let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
@@ -249,7 +245,7 @@
             match self.0.stream.try_read(&mut scrap) {
                 Ok(0) => return,
                 Ok(n) => most = most.saturating_sub(n),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock || interrupted(&e) => {}
                 Err(_) => return,
             }
         }
@@ -281,11 +277,21 @@
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.0.stream).peek(&mut byte);
-        matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+        loop {
+            match socket2::SockRef::from(&self.0.stream).peek(&mut byte) {
+                Err(e) if interrupted(&e) => {}
+                peeked => return matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock),
+            }
+        }
     }
 }
 
+/// The connection is intact, but the system has no room for the moment: the task comes back in its next turn.
+fn try_later<T>(cx: &Context<'_>) -> Poll<T> {
+    cx.waker().wake_by_ref();
+    Poll::Pending
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -301,7 +307,8 @@
                     self.note_read(all.get(all.len() - n..).unwrap_or_default());
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock || interrupted(&e) => {}
+                Err(e) if out_of_buffers(&e) => return try_later(cx),
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
@@ -321,7 +328,8 @@
                     self.0.written.set(self.0.written.get() + n as u64);
                     return Poll::Ready(Ok(n));
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock || interrupted(&e) => {}
+                Err(e) if out_of_buffers(&e) => return try_later(cx),
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to backends, and the attempts on them. One request at a time on each.
 
-use crate::socket::{Descriptors, Slot, Socket, out_of_descriptors};
+use crate::socket::{Descriptors, Slot, Socket};
+use crate::system::{self, ConnectError};
 use birchspoke::interface::{BackendId, Load, Outcome};
 use birchspoke::wire;
 use bytes::{Bytes, BytesMut};
@@ -23,7 +24,6 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, oneshot};
 use tokio::time::Sleep;
 
@@ -455,15 +455,17 @@
 }
 
 impl Conn {
-    /// Connects; the caller bounds the time. `buffer` is what it reads ahead, in bytes.
+    /// Connects by `deadline`. `buffer` is what it reads ahead, in bytes.
     pub async fn open(
         address: SocketAddr,
+        deadline: Instant,
         slot: Slot,
         buffer: usize,
-    ) -> Result<Conn, Box<dyn std::error::Error>> {
-        let socket = Socket::new(TcpStream::connect(address).await?, slot);
+    ) -> Result<Conn, ConnectError> {
+        let socket = Socket::new(system::connect(address, deadline).await?, slot);
         let io = TokioIo::new(socket.clone());
-        let (sender, connection) = http1::Builder::new().max_buf_size(buffer).handshake(io).await?;
+        let handshake = http1::Builder::new().max_buf_size(buffer).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|e| ConnectError::Remote(io::Error::other(e)))?;
         Ok(Conn { sender, connection: Some(Box::pin(connection)), socket })
     }
 
@@ -771,13 +773,11 @@
             || self.connect_limit.min(until.min(begin_by).saturating_duration_since(Instant::now()));
         let slot = tokio::time::timeout(limit(), self.descriptors.take()).await;
         let slot = slot.map_err(|_| Outcome::Skipped)?;
-        match tokio::time::timeout(limit(), Conn::open(address, slot, self.buffer)).await {
-            Ok(Ok(conn)) => Ok((conn, None)),
-            Ok(Err(e)) if e.downcast_ref::<io::Error>().is_some_and(out_of_descriptors) => {
-                Err(Outcome::Skipped)
-            }
-            Err(_) if Instant::now() >= begin_by => Err(Outcome::Skipped),
-            _ => Err(Outcome::NotConnected),
+        match Conn::open(address, Instant::now() + limit(), slot, self.buffer).await {
+            Ok(conn) => Ok((conn, None)),
+            Err(ConnectError::Local(_)) => Err(Outcome::Skipped),
+            Err(ConnectError::TimedOut) if Instant::now() >= begin_by => Err(Outcome::Skipped),
+            Err(_) => Err(Outcome::NotConnected),
         }
     }
 
