Show how calls that were answered done are forgotten: three tests that fail

The disk fails and `done` is said all the same; a state cut in half is dropped with the calls in it; of two calls to two processes at one time the later write undoes the other.

--- a/tests/node/faults.rs
+++ b/tests/node/faults.rs
@@ -28,9 +28,10 @@
     SyncFails,
     RenameFails,
     KillInWrite,
+    HeldRename,
 }
 
-const NUMBERS: usize = Fault::KillInWrite as usize + 1;
+const NUMBERS: usize = Fault::HeldRename as usize + 1;
 
 /// The library, built once for each test binary.
 fn library() -> &'static Path {
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod faults;
+pub mod state;
 
 use faults::Faults;
 use serde_json::{Value, json};
--- /dev/null
+++ b/tests/node_durable_calls.rs
@@ -0,0 +1,135 @@
+//! A call of the operators that was answered `done` holds whatever becomes of the disk and of the process.
+mod node;
+
+use node::faults::{Fault, Faults};
+use node::*;
+use serde_json::Value;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+
+/// An empty folder for what one process leaves to the next.
+fn folder(name: &str) -> PathBuf {
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("calls-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// Three servers, and a node behind an inherited socket that keeps its state in a folder.
+struct Site {
+    records: Vec<Record>,
+    discovery: Discovery,
+    socket: TcpListener,
+    folder: PathBuf,
+}
+
+impl Site {
+    fn new(name: &str) -> Site {
+        let records: Vec<Record> = (0..3).map(|_| Record::default()).collect();
+        let addresses: Vec<_> = records.iter().map(|r| backend(r, |_, _| ok(b"ok"))).collect();
+        Site {
+            records,
+            discovery: Discovery::start(all_up(&addresses)),
+            socket: TcpListener::bind(free_address()).unwrap(),
+            folder: folder(name),
+        }
+    }
+
+    /// A process whose console answers.
+    fn process(&self, faults: Option<&Faults>) -> Node {
+        let console = |c: &mut Value| c["console"] = free_address().to_string().into();
+        let set_up = |c: &mut std::process::Command| faults.into_iter().for_each(|f| f.preload(c));
+        let node = Node::inherit_with(self.discovery.address, &self.socket, &self.folder, console, set_up);
+        wait_for("the process is ready", || {
+            std::net::TcpStream::connect(node.console()).is_ok() && node.call("ready").starts_with("done")
+        });
+        node
+    }
+
+    /// How many of 60 requests each server gets.
+    fn shares(&self, node: &Node) -> Vec<usize> {
+        let before: Vec<usize> = self.records.iter().map(Record::count).collect();
+        (0..60).for_each(|_| assert_eq!(ask(node.address, &request("page", 4000)).status(), 200));
+        self.records.iter().zip(before).map(|(r, before)| r.count() - before).collect()
+    }
+
+    fn files(&self) -> Vec<String> {
+        let entries = std::fs::read_dir(&self.folder).unwrap();
+        entries.map(|entry| entry.unwrap().file_name().into_string().unwrap()).collect()
+    }
+}
+
+#[test]
+fn a_done_outlives_the_process_though_the_disk_fails_for_a_while() {
+    for (seed, fault) in
+        (1..).zip([Fault::WriteFails, Fault::WriteHalves, Fault::SyncFails, Fault::RenameFails])
+    {
+        let site = Site::new(&format!("fails-{seed}"));
+        let faults = Faults::new(seed);
+        let mut node = site.process(Some(&faults));
+        // Nothing can be kept: no `done`, and nothing has changed.
+        faults.set(fault, 1);
+        let answer = node.call("disable-server s-2");
+        assert!(answer.starts_with("error"), "{fault:?}: {answer}");
+        assert!(site.shares(&node)[2] > 0, "{fault:?}: an `error` changes nothing");
+        // Every other try fails: tried again within the time of the answer.
+        faults.set(fault, 2);
+        let answer = node.call("disable-server s-2");
+        assert!(answer.starts_with("done"), "{fault:?}: {answer}");
+        faults.set(fault, 1);
+        assert!(node.call("enable-server s-2").starts_with("error"), "{fault:?}");
+        node.kill();
+        let next = site.process(None);
+        assert_eq!(site.shares(&next)[2], 0, "{fault:?}: out of service");
+    }
+}
+
+#[test]
+fn a_kill_in_the_middle_of_a_write_leaves_the_last_calls() {
+    let site = Site::new("kill");
+    let faults = Faults::new(7);
+    let mut node = site.process(Some(&faults));
+    assert!(node.call("disable-server s-1").starts_with("done"));
+    faults.set(Fault::KillInWrite, 1);
+    let _ = std::panic::catch_unwind(|| node.call("disable-server s-2"));
+    wait_for("it is killed", || !node.running());
+    // A file that was written in place would be cut like this.
+    let next = site.process(None);
+    assert_eq!(site.shares(&next)[1], 0, "out of service");
+    drop(next);
+    for file in site.files().iter().filter(|name| !name.contains("last")) {
+        let path = site.folder.join(file);
+        let text = std::fs::read(&path).unwrap();
+        std::fs::write(&path, &text[..text.len() / 2]).unwrap();
+    }
+    let next = site.process(None);
+    assert_eq!(site.shares(&next)[1], 0, "still out of service: the last good state counts");
+    let leftovers: Vec<String> = site.files().into_iter().filter(|name| name.contains("draft")).collect();
+    assert!(leftovers.is_empty(), "{leftovers:?}");
+}
+
+#[test]
+fn calls_to_two_processes_at_once_both_hold() {
+    let site = Site::new("both");
+    let faults = Faults::new(8);
+    let old = site.process(Some(&faults));
+    let new = site.process(None);
+    // The old process is held up between reading the state and replacing it.
+    faults.set(Fault::HoldMs, 150);
+    faults.set(Fault::HeldRename, 1);
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| old.call("disable-server s-0"));
+        wait_for("the old process is about to replace the file", || {
+            site.files().iter().any(|name| name.contains(&old.pid().to_string()))
+        });
+        let second = new.call("disable-server s-1");
+        let first = first.join().unwrap();
+        assert!(first.starts_with("done") && second.starts_with("done"), "{first} {second}");
+    });
+    faults.set(Fault::HeldRename, 0);
+    drop(old);
+    drop(new);
+    let next = site.process(None);
+    assert_eq!(site.shares(&next)[..2], [0, 0], "both are out of service");
+}
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -39,6 +39,7 @@
     SYNC_FAILS,       /* fsync and fdatasync: EIO, ENOSPC */
     RENAME_FAILS,     /* rename: EIO, ENOSPC */
     KILL_IN_WRITE,    /* a write to a file: half is written, then the process is killed */
+    HELD_RENAME,      /* rename waits for HOLD_MS first */
     CONTROLS
 };
 
@@ -116,20 +117,24 @@
     return (ssize_t)wanted;
 }
 
-static void hold(int fd) {
-    if (!control || setting(HELD_SEND) <= 0 || !is_tcp(fd) || !happens(HELD_SEND)) return;
+static void hold(enum control which) {
+    if (!happens(which)) return;
     int64_t ms = setting(HOLD_MS);
     struct timespec time = {ms / 1000, ms % 1000 * 1000000};
     nanosleep(&time, NULL);
 }
 
+static void hold_send(int fd) {
+    if (setting(HELD_SEND) > 0 && is_tcp(fd)) hold(HELD_SEND);
+}
+
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     ssize_t most = allowance(fd, length);
     return most < 0 ? -1 : REAL(recv)(fd, buffer, (size_t)most, flags);
 }
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
-    hold(fd);
+    hold_send(fd);
     ssize_t most = allowance(fd, length);
     return most < 0 ? -1 : REAL(send)(fd, buffer, (size_t)most, flags);
 }
@@ -152,7 +157,7 @@
 ssize_t readv(int fd, const struct iovec *parts, int count) { return vector(fd, parts, count, REAL(readv)); }
 
 ssize_t writev(int fd, const struct iovec *parts, int count) {
-    hold(fd);
+    hold_send(fd);
     return vector(fd, parts, count, REAL(writev));
 }
 
@@ -181,6 +186,7 @@
 int fdatasync(int fd) { return happens(SYNC_FAILS) ? FAIL(EIO, ENOSPC) : REAL(fdatasync)(fd); }
 
 int rename(const char *from, const char *to) {
+    hold(HELD_RENAME);
     return happens(RENAME_FAILS) ? FAIL(EIO, ENOSPC) : REAL(rename)(from, to);
 }
 
