Say done to a call only once the next process will find it

Three causes of one class: a call was applied and answered, and then written with its error only logged; a state cut in half was dropped whole; and two processes read, changed and replaced the file with no lock, so of two calls at one time one was undone. A process was told by its number alone, which the system gives again.

The calls now have a file of their own, under a lock: written, synced, renamed, folder synced, and only then applied and answered; tried again for 0.7 s, then `error` with the reason and nothing changed. A checksum tells half a file, and the last good one is kept beside it. What the process has learned stays in node-state.json, unsynced, as spans of time in place of moments of the wall clock. A process is its number and when it started. Drafts of ended processes are removed, and a state of version 1 is still taken over. Not taken: a thread for the syncs, since calls are rare and the file small.

Two tests wrote the old form of the file: they write the new one, with more ways for it to be wrong.

--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -4,7 +4,7 @@
 //! descriptors are kept free, and when all places are taken whoever has been silent for longest goes.
 
 use crate::driver::Driver;
-use crate::handover::Handover;
+use crate::handover::{Handover, NotKept};
 use crate::log;
 use crate::server::Server;
 use crate::socket::{Descriptors, Socket};
@@ -29,7 +29,6 @@
 /// What a caller still sends behind its call is read for so long, lest the answer be lost to a reset.
 const LINGER: Duration = Duration::from_millis(200);
 const BACKLOG: u32 = 128;
-const UNKNOWN: &str = "no server of this id is on the list or out of service";
 
 /// What may be asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +71,23 @@
     Extra(&'static str),
 }
 
+/// Why a call was not carried out.
+#[derive(Debug, Error)]
+pub enum Refusal {
+    /// The line is none.
+    #[error(transparent)]
+    NoCall(#[from] NoCall),
+    /// It names a server that nobody knows.
+    #[error("no server of this id is on the list or out of service")]
+    UnknownServer,
+    /// It cannot be kept for the next process.
+    #[error(transparent)]
+    NotKept(#[from] NotKept),
+    /// The node is in no state for it.
+    #[error("{0}")]
+    State(&'static str),
+}
+
 impl<'a> Call<'a> {
     /// Reads a line without its end.
     pub fn parse(line: &'a [u8]) -> Result<Call<'a>, NoCall> {
@@ -184,11 +200,13 @@
             Ok(Err(wrong)) => Err(wrong),
             Err(_) => Err(NoCall::Unfinished),
         };
-        let answer =
-            call.map_err(|wrong| wrong.to_string()).and_then(|c| self.carry_out(c).map_err(str::to_owned));
+        let answer = match call {
+            Ok(call) => self.carry_out(call).await,
+            Err(wrong) => Err(Refusal::NoCall(wrong)),
+        };
         let answer = match answer {
             Ok(text) => format!("done {text}\n"),
-            Err(text) => format!("error {text}\n"),
+            Err(refusal) => format!("error {refusal}\n"),
         };
         let telling = async {
             stream.write_all(answer.as_bytes()).await?;
@@ -201,35 +219,38 @@
         let _ = tokio::time::timeout(LINGER, telling).await;
     }
 
-    fn carry_out(&self, call: Call<'_>) -> Result<&'static str, &'static str> {
+    async fn carry_out(&self, call: Call<'_>) -> Result<&'static str, Refusal> {
         let answer = match call {
             Call::Ready if self.server.ready() => return Ok("takes clients"),
-            Call::Ready => return Err("takes no clients"),
-            Call::Disable(id) => match self.call(id, true) {
-                Some(true) => Ok("out of service"),
-                Some(false) => Ok("out of service already"),
-                None => Err(UNKNOWN),
+            Call::Ready => return Err(Refusal::State("takes no clients")),
+            Call::Disable(id) => match self.set_disabled(id, true).await {
+                Ok(true) => Ok("out of service"),
+                Ok(false) => Ok("out of service already"),
+                Err(refusal) => Err(refusal),
             },
-            Call::Enable(id) => match self.call(id, false) {
-                Some(true) => Ok("in service again, cold"),
-                Some(false) => Ok("was not out of service"),
-                None => Err(UNKNOWN),
+            Call::Enable(id) => match self.set_disabled(id, false).await {
+                Ok(true) => Ok("in service again, cold"),
+                Ok(false) => Ok("was not out of service"),
+                Err(refusal) => Err(refusal),
             },
-            Call::Drain => self.server.drain(),
-            Call::Resume => self.server.resume(),
+            Call::Drain => self.server.drain().map_err(Refusal::State),
+            Call::Resume => self.server.resume().map_err(Refusal::State),
         };
-        let (Ok(text) | Err(text)) = answer;
-        log::line(&format!("console: {call:?}: {text}"));
+        match &answer {
+            Ok(text) => log::line(&format!("console: {call:?}: {text}")),
+            Err(refusal) => log::line(&format!("console: {call:?}: {refusal}")),
+        }
         answer
     }
 
-    /// True if the call changed anything, none for an id that is unknown.
-    fn call(&self, id: &str, disable: bool) -> Option<bool> {
-        let changed = self.driver.call(id, disable);
-        if let (Some(true), Some(handover)) = (changed, &self.handover) {
-            handover.called(&self.driver);
+    /// True if the call changed anything. Where a later process may take over, the change is kept for it before this
+    /// returns.
+    async fn set_disabled(&self, uid: &str, disable: bool) -> Result<bool, Refusal> {
+        let backend = self.driver.backend(uid).ok_or(Refusal::UnknownServer)?;
+        match &self.handover {
+            Some(handover) => Ok(handover.change(&self.driver, backend, disable).await?),
+            None => Ok(self.driver.set_disabled(backend, disable)),
         }
-        changed
     }
 }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -275,17 +275,19 @@
         !self.current.replace(true)
     }
 
-    /// Takes a backend out of service or puts it back; none for an id that neither the list nor an earlier call
-    /// has named. True if that changed anything.
-    pub fn call(self: &Rc<Self>, uid: &str, disable: bool) -> Option<bool> {
+    /// The backend of that name; none for one that neither the list nor an earlier call has named.
+    pub fn backend(&self, uid: &str) -> Option<BackendId> {
         let id = BackendId(stable_hash(uid));
-        let was_disabled = {
-            let core = self.core.borrow();
-            let was_disabled = core.balancer.disabled().any(|b| b == id);
-            (was_disabled || core.listed.contains(&id)).then_some(was_disabled)?
-        };
+        let core = self.core.borrow();
+        let disabled = core.balancer.disabled().any(|b| b == id);
+        (disabled || core.listed.contains(&id)).then_some(id)
+    }
+
+    /// Takes a backend out of service or puts it back. True if that changed anything.
+    pub fn set_disabled(self: &Rc<Self>, id: BackendId, disable: bool) -> bool {
+        let was_disabled = self.disabled().contains(&id);
         self.take(if disable { Input::Disable(id) } else { Input::Enable(id) });
-        Some(was_disabled != disable)
+        was_disabled != disable
     }
 
     /// Who is out of service.
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,295 +1,372 @@
-//! What a process takes over from the one before it: the clients' listening socket, which the platform holds
-//! and every process of the node inherits, and a small file in `$TMPDIR` with what was learned and called.
+//! What a process takes over from the one before it, by two small files in `$TMPDIR`.
+//!
+//! `node-calls.json` has the calls of the operators: who is out of service, by which call. It is owed once a call was
+//! answered, so it is on the disk by then. `node-state.json` has what the serving process has learned and is; it is
+//! written now and then, and a new process can do without.
 //!
 //! While two processes run, either may be called by the operators. Each call that changes who is out of service
 //! raises a number in the file, and a process that finds a higher one than its own takes that over.
 
 use crate::driver::{Driver, Input};
 use crate::log;
+use crate::process::ProcessId;
+use crate::state_file::{Durability, FolderLock, LockError, ReadError, StateFile};
 use birchspoke::interface::{BackendId, Memory};
-use serde_json::{Value, json};
-use socket2::Socket;
+use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
-use std::net::TcpListener;
-use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
-/// Names the inherited descriptor.
-pub const VARIABLE: &str = "LB_INHERITED_FD";
-/// The standard streams are not for the taking.
-const FIRST: RawFd = 3;
+const CALLS_FILE: &str = "node-calls.json";
+const STATE_FILE: &str = "node-state.json";
+/// How often the files are looked at, and in how many of those turns the state is written.
+const TURN: Duration = Duration::from_millis(200);
+const WRITE_EVERY: u32 = 5;
+/// A call is answered within a second: for so long it is tried to keep it, and so often.
+const CALL_TIME: Duration = Duration::from_millis(700);
+const CALL_RETRY: Duration = Duration::from_millis(20);
 
-/// Why there is no socket to take over, though one is named.
+/// Why a call was not carried out.
 #[derive(Debug, Error)]
-pub enum NoSocket {
-    /// What stands there is no descriptor.
-    #[error("{VARIABLE}: {0:?} is not the number of a descriptor from {FIRST} on")]
-    NoNumber(String),
-    /// Nothing is open under that number.
-    #[error("{VARIABLE}: descriptor {0} is not open")]
-    Closed(RawFd),
-    /// It is something else.
-    #[error("{VARIABLE}: descriptor {0} is not a listening TCP socket")]
-    NotListening(RawFd),
-    /// The system refuses to go on with it.
-    #[error("{VARIABLE}: descriptor {0}: {1}")]
-    System(RawFd, std::io::Error),
+pub enum NotKept {
+    /// Another process is about to change the calls, or there can be no lock.
+    #[error(transparent)]
+    Lock(#[from] LockError),
+    /// The disk does not take it.
+    #[error("cannot be kept: {0}")]
+    Write(#[from] std::io::Error),
+}
+
+/// Who is out of service by the calls of the operators.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Calls {
+    /// How many calls have changed that.
+    number: u64,
+    disabled: BTreeSet<u64>,
 }
 
-/// The listening socket that the environment names; none where it names none.
-///
-/// To be called once, before this process opens anything itself: what is open then was inherited.
-pub fn inherited() -> Result<Option<TcpListener>, NoSocket> {
-    let Some(word) = std::env::var_os(VARIABLE) else { return Ok(None) };
-    let number = word.to_str().and_then(|w| w.parse().ok()).filter(|fd| *fd >= FIRST);
-    let fd = number.ok_or_else(|| NoSocket::NoNumber(word.to_string_lossy().into_owned()))?;
-    let socket = Socket::from(take(fd).ok_or(NoSocket::Closed(fd))?);
-    let tcp = socket.local_addr().is_ok_and(|at| at.as_socket().is_some());
-    if !tcp || !socket.is_listener().unwrap_or(false) {
-        return Err(NoSocket::NotListening(fd));
+impl Calls {
+    fn servers(&self) -> BTreeSet<BackendId> {
+        self.disabled.iter().map(|id| BackendId(*id)).collect()
     }
-    socket.set_nonblocking(true).map_err(|e| NoSocket::System(fd, e))?;
-    Ok(Some(socket.into()))
 }
 
-/// The descriptor of that number, if it is open.
-#[allow(unsafe_code)]
-fn take(fd: RawFd) -> Option<OwnedFd> {
-    std::fs::symlink_metadata(format!("/proc/self/fd/{fd}")).ok()?;
-    // SAFETY: the descriptor is open, as was just seen. It was inherited: `inherited` is called once, before
-    // this process has opened anything, so nothing else here owns it. Standard streams are excluded.
-    Some(unsafe { OwnedFd::from_raw_fd(fd) })
+/// What the process that serves is, and has learned.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ProcessState {
+    #[serde(flatten)]
+    process: ProcessId,
+    /// The version of discovery's list that it had.
+    list: Option<u64>,
+    servers: Vec<ServerState>,
 }
 
-/// What is written, and read, in this form alone.
-const VERSION: u64 = 1;
-const FILE: &str = "node-state.json";
-/// A longer file is none of ours.
-const LONGEST: u64 = 1024 * 1024;
-/// How often the file is looked at, and in how many of those turns it is written.
-const TURN: Duration = Duration::from_millis(200);
-const WRITE_EVERY: u32 = 5;
+/// What it has learned of a server. Times are spans: neither the clock of another process nor the wall clock, which may
+/// be stepped, can tell a moment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ServerState {
+    id: u64,
+    /// For how long it has been cold, if that is not over.
+    cold_for_ms: Option<f64>,
+    /// How long until its trial, if it is congested.
+    trial_in_ms: Option<f64>,
+    cap: f64,
+    served: f64,
+}
 
-/// What stands in the file.
-#[derive(Clone, Debug, Default, PartialEq)]
-struct State {
-    /// The process that serves, or last did.
+impl ServerState {
+    fn new(memory: &Memory, now_ms: f64) -> ServerState {
+        ServerState {
+            id: memory.backend.0,
+            cold_for_ms: memory.cold_since_ms.map(|since| (now_ms - since).max(0.0)),
+            trial_in_ms: memory.prat_ms.map(|at| (at - now_ms).max(0.0)),
+            cap: memory.cap,
+            served: memory.served,
+        }
+    }
+
+    /// As if no time had passed since it was written: how long that is cannot be known, and what is colder or congested
+    /// for longer than need be breaks no rule.
+    fn memory(&self, now_ms: f64) -> Memory {
+        Memory {
+            backend: BackendId(self.id),
+            cold_since_ms: self.cold_for_ms.map(|span| now_ms - span.max(0.0)),
+            prat_ms: self.trial_in_ms.map(|span| now_ms + span.max(0.0)),
+            cap: self.cap,
+            served: self.served,
+        }
+    }
+}
+
+/// The state of version 1, which is taken over from, too. Its times are of the wall clock and not used.
+#[derive(Debug, Deserialize)]
+struct FirstVersion {
+    version: u64,
     pid: u32,
-    /// How many calls have changed who is out of service.
     calls: u64,
-    out: BTreeSet<BackendId>,
-    /// The version of discovery's list that it had.
+    out: Vec<String>,
     list: Option<u64>,
-    backends: Vec<Memory>,
 }
 
-impl State {
-    fn to_json(&self) -> Value {
-        let id = |b: &BackendId| format!("{:016x}", b.0);
-        let backends: Vec<Value> = (self.backends.iter())
-            .map(|m| {
-                let (cold_since, prat) = (m.cold_since_ms, m.prat_ms);
-                json!({"id": id(&m.backend), "cold_since_ms": cold_since, "prat_ms": prat, "cap": m.cap,
-                       "served": m.served})
-            })
-            .collect();
-        let out: Vec<String> = self.out.iter().map(id).collect();
-        json!({"version": VERSION, "pid": self.pid, "calls": self.calls, "out": out, "list": self.list,
-               "backends": backends})
+impl FirstVersion {
+    fn read(text: &str) -> Option<(Calls, ProcessState)> {
+        let first: FirstVersion =
+            serde_json::from_str(text).ok().filter(|s: &FirstVersion| s.version == 1)?;
+        let disabled =
+            first.out.iter().map(|id| u64::from_str_radix(id, 16).ok()).collect::<Option<_>>()?;
+        let process = ProcessId { pid: first.pid, started: 0 };
+        let state = ProcessState { process, list: first.list, servers: Vec::new() };
+        Some((Calls { number: first.calls, disabled }, state))
     }
+}
 
-    /// None where any part is missing or not of its kind: half a state is none.
-    fn from_json(json: &Value) -> Option<State> {
-        let id = |v: &Value| u64::from_str_radix(v.as_str()?, 16).ok().map(BackendId);
-        let time = |v: &Value| match v {
-            Value::Null => Some(None),
-            v => v.as_f64().map(Some),
-        };
-        let memory = |v: &Value| {
-            Some(Memory {
-                backend: id(v.get("id")?)?,
-                cold_since_ms: time(v.get("cold_since_ms")?)?,
-                prat_ms: time(v.get("prat_ms")?)?,
-                cap: v.get("cap")?.as_f64()?,
-                served: v.get("served")?.as_f64()?,
-            })
-        };
-        if json.get("version")?.as_u64()? != VERSION {
-            return None;
-        }
-        Some(State {
-            pid: json.get("pid")?.as_u64()?.try_into().ok()?,
-            calls: json.get("calls")?.as_u64()?,
-            out: json.get("out")?.as_array()?.iter().map(id).collect::<Option<_>>()?,
-            list: match json.get("list")? {
-                Value::Null => None,
-                version => Some(version.as_u64()?),
-            },
-            backends: json.get("backends")?.as_array()?.iter().map(memory).collect::<Option<_>>()?,
-        })
-    }
+/// Reads what one of the files holds.
+fn parse<T: for<'a> Deserialize<'a>>(read: Result<Option<String>, ReadError>) -> Result<Option<T>, String> {
+    let Some(body) = read.map_err(|e| e.to_string())? else { return Ok(None) };
+    serde_json::from_str(&body).map(Some).map_err(|e| e.to_string())
 }
 
 /// What this process leaves to the next, and shares with one that runs beside it.
 pub struct Handover {
     folder: PathBuf,
-    pid: u32,
+    calls_file: StateFile,
+    state_file: StateFile,
+    own: ProcessId,
     /// The last call that this process knows of.
-    calls: Cell<u64>,
+    call_number: Cell<u64>,
     /// The version of the list that this process has.
     list: Rc<Cell<Option<u64>>>,
     /// The process that this one took over from.
-    before: Cell<Option<u32>>,
+    predecessor: Cell<Option<ProcessId>>,
     /// The process that serves beside this one.
-    beside: Cell<Option<u32>>,
+    beside: Cell<Option<ProcessId>>,
+    /// The state file names this process.
+    declared: Cell<bool>,
 }
 
 impl Handover {
     /// In the folder for temporary files, which all processes of the node have in common.
     pub fn new(list: Rc<Cell<Option<u64>>>) -> Rc<Handover> {
-        let (folder, pid) = (std::env::temp_dir(), std::process::id());
-        let (calls, before, beside) = (Cell::new(0), Cell::new(None), Cell::new(None));
-        Rc::new(Handover { folder, pid, calls, list, before, beside })
+        let (folder, own) = (std::env::temp_dir(), ProcessId::own());
+        Rc::new(Handover {
+            calls_file: StateFile::new(&folder, CALLS_FILE, own),
+            state_file: StateFile::new(&folder, STATE_FILE, own),
+            folder,
+            own,
+            call_number: Cell::new(0),
+            list,
+            predecessor: Cell::new(None),
+            beside: Cell::new(None),
+            declared: Cell::new(false),
+        })
     }
 
-    /// None where there is no file yet.
-    fn read(&self) -> Result<Option<State>, String> {
-        let path = self.folder.join(FILE);
-        let length = match std::fs::metadata(&path) {
-            Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
-            Err(e) => return Err(e.to_string()),
-            Ok(found) => found.len(),
-        };
-        if length > LONGEST {
-            return Err(format!("{length} bytes are too many"));
-        }
-        let text = std::fs::read(&path).map_err(|e| e.to_string())?;
-        let json = serde_json::from_slice(&text).map_err(|e| e.to_string())?;
-        State::from_json(&json).map(Some).ok_or_else(|| format!("not a state of version {VERSION}"))
+    fn read_calls(&self) -> Result<Option<Calls>, String> {
+        parse(self.calls_file.read())
     }
 
-    /// Replaces the file in one step, so that nobody reads half of it.
-    fn write(&self, state: &State) {
-        let draft = self.folder.join(format!("{FILE}.{}", self.pid));
-        let written = std::fs::write(&draft, state.to_json().to_string())
-            .and_then(|()| std::fs::rename(&draft, self.folder.join(FILE)));
-        if let Err(e) = written {
-            log::line(&format!("handover: state not written: {e}"));
-        }
+    fn read_state(&self) -> Result<Option<ProcessState>, String> {
+        parse(self.state_file.read())
     }
 
-    fn of(&self, driver: &Driver) -> State {
-        let (calls, list) = (self.calls.get(), self.list.get());
-        State { pid: self.pid, calls, out: driver.disabled(), list, backends: driver.memory() }
+    fn write_state(&self, driver: &Driver) {
+        let now_ms = driver.clock.now_ms();
+        let servers = driver.memory().iter().map(|memory| ServerState::new(memory, now_ms)).collect();
+        let state = ProcessState { process: self.own, list: self.list.get(), servers };
+        match self.state_file.write(&to_json(&state), Durability::Visible) {
+            Ok(()) => self.declared.set(true),
+            Err(e) => log::line(&format!("handover: state not written: {e}")),
+        }
     }
 
     /// Takes over what the process before this one left, and declares this one the serving one. True if that
     /// process knew a newer list than the one given here.
     pub fn take_over(&self, driver: &Rc<Driver>) -> bool {
-        let mut behind = false;
-        match self.read() {
-            Ok(Some(state)) => {
-                let State { pid, calls, out, list, backends } = state;
-                behind = list > self.list.get();
-                let (servers, banned) = (backends.len(), out.len());
-                let older = if behind { ", a newer list than the one given here" } else { "" };
-                log::line(&format!(
-                    "handover: from process {pid}: {servers} servers, {banned} out of service{older}"
-                ));
-                self.calls.set(calls);
-                driver.take(Input::Inherit(backends));
-                out.into_iter().for_each(|id| driver.take(Input::Disable(id)));
-                self.before.set(Some(pid));
-                self.meet(pid, driver);
+        let first_version = self.state_file.read_unchecked().and_then(|text| FirstVersion::read(&text));
+        let (calls, state) = match first_version {
+            Some((calls, state)) => (Ok(Some(calls)), Ok(Some(state))),
+            None => (self.read_calls(), self.read_state()),
+        };
+        match calls {
+            Ok(Some(calls)) => {
+                log::line(&format!("handover: {} out of service by earlier calls", calls.disabled.len()));
+                self.call_number.set(calls.number);
+                calls.servers().into_iter().for_each(|id| driver.take(Input::Disable(id)));
             }
-            Ok(None) => log::line("handover: no state, starts without"),
-            Err(e) => log::line(&format!("handover: state cannot be used, starts without: {e}")),
+            Ok(None) => {}
+            Err(e) => log::line(&format!("handover: calls cannot be used, starts without: {e}")),
         }
-        self.write(&self.of(driver));
+        let behind = match state {
+            Ok(Some(state)) => self.take_state(&state, driver),
+            Ok(None) => {
+                log::line("handover: no state, starts without");
+                false
+            }
+            Err(e) => {
+                log::line(&format!("handover: state cannot be used, starts without: {e}"));
+                false
+            }
+        };
+        self.calls_file.remove_leftovers();
+        self.state_file.remove_leftovers();
+        self.write_state(driver);
+        behind
+    }
+
+    fn take_state(&self, state: &ProcessState, driver: &Rc<Driver>) -> bool {
+        let behind = state.list > self.list.get();
+        let older = if behind { ", a newer list than the one given here" } else { "" };
+        let (pid, servers) = (state.process.pid, state.servers.len());
+        log::line(&format!("handover: from process {pid}: {servers} servers{older}"));
+        let now_ms = driver.clock.now_ms();
+        driver.take(Input::Inherit(state.servers.iter().map(|server| server.memory(now_ms)).collect()));
+        self.predecessor.set(Some(state.process));
+        self.meet(state.process, driver);
         behind
     }
 
-    /// Tells the other process, if there is one, of a call that changed who is out of service.
-    pub fn called(&self, driver: &Rc<Driver>) {
-        let there = self.read().ok().flatten();
-        self.calls.set(there.as_ref().map_or(0, |s| s.calls).max(self.calls.get()) + 1);
-        self.share(there, driver);
+    /// Takes a server out of service or puts it back, for good once this returns. True if that changed anything; where it
+    /// fails, nothing has changed.
+    pub async fn change(
+        &self,
+        driver: &Rc<Driver>,
+        server: BackendId,
+        disable: bool,
+    ) -> Result<bool, NotKept> {
+        let give_up = Instant::now() + CALL_TIME;
+        loop {
+            match self.try_change(driver, server, disable) {
+                Err(_) if Instant::now() + CALL_RETRY < give_up => tokio::time::sleep(CALL_RETRY).await,
+                ended => return ended,
+            }
+        }
+    }
+
+    fn try_change(&self, driver: &Rc<Driver>, server: BackendId, disable: bool) -> Result<bool, NotKept> {
+        // Nobody else may change the calls between this process's look at them and its write.
+        let _lock = FolderLock::take(&self.folder)?;
+        let stored = self.read_calls().ok().flatten().unwrap_or_default();
+        if stored.number > self.call_number.get() {
+            self.adopt(&stored, driver);
+        }
+        let known = driver.disabled();
+        let mut wanted = known.clone();
+        let changes = if disable { wanted.insert(server) } else { wanted.remove(&server) };
+        if !changes && stored.number == self.call_number.get() {
+            return Ok(false);
+        }
+        let number = stored.number.max(self.call_number.get()) + 1;
+        if let Err(e) = self.store(number, &wanted, Durability::Synced) {
+            // It may be there to be seen, but not for good.
+            if self.read_calls().is_ok_and(|calls| calls.is_some_and(|calls| calls.number == number)) {
+                self.call_number.set(number + 1);
+                // Where this fails, too, the next turn tries again.
+                let _ = self.store(number + 1, &known, Durability::Visible);
+            }
+            return Err(e.into());
+        }
+        self.call_number.set(number);
+        if changes {
+            driver.take(if disable { Input::Disable(server) } else { Input::Enable(server) });
+        }
+        Ok(changes)
+    }
+
+    fn store(
+        &self,
+        number: u64,
+        servers: &BTreeSet<BackendId>,
+        durability: Durability,
+    ) -> std::io::Result<()> {
+        let calls = Calls { number, disabled: servers.iter().map(|id| id.0).collect() };
+        self.calls_file.write(&to_json(&calls), durability)
+    }
+
+    /// Has this process go by calls that another one was given.
+    fn adopt(&self, calls: &Calls, driver: &Rc<Driver>) {
+        self.call_number.set(calls.number);
+        let (known, told) = (driver.disabled(), calls.servers());
+        told.difference(&known).for_each(|id| driver.take(Input::Disable(*id)));
+        known.difference(&told).for_each(|id| driver.take(Input::Enable(*id)));
+        log::line(&format!("handover: call {}: {} out of service", calls.number, told.len()));
     }
 
-    /// Writes who is out of service by the last call that this process knows of.
-    fn share(&self, there: Option<State>, driver: &Rc<Driver>) {
-        let own = self.of(driver);
-        // The other may serve by now; what it knows of the backends is newer.
-        self.write(&match there {
-            Some(there) => State { calls: own.calls, out: own.out, ..there },
-            None => own,
-        });
+    /// Brings the calls of this process and those of the file together.
+    fn compare_calls(&self, driver: &Rc<Driver>) {
+        let number = || self.read_calls().ok().flatten().map_or(0, |calls| calls.number);
+        if number() == self.call_number.get() {
+            return;
+        }
+        // While another process is changing them there is nothing to compare; the next turn comes soon.
+        let Ok(_lock) = FolderLock::take(&self.folder) else { return };
+        let stored = self.read_calls().ok().flatten().unwrap_or_default();
+        if stored.number > self.call_number.get() {
+            self.adopt(&stored, driver);
+        } else if stored.number < self.call_number.get() {
+            // What was taken on is gone from the disk.
+            if let Err(e) = self.store(self.call_number.get(), &driver.disabled(), Durability::Synced) {
+                log::line(&format!("handover: calls not written: {e}"));
+            }
+        }
     }
 
     /// Another process has taken over and runs.
     pub fn succeeded(&self) -> bool {
-        self.read().ok().flatten().is_some_and(|there| self.is_successor(there.pid))
+        self.read_state().ok().flatten().is_some_and(|state| self.is_successor(state.process))
     }
 
     /// That is another process that runs, and not the one before this: where that has written its state just as this
     /// one declared itself, the file names it once more.
-    fn is_successor(&self, pid: u32) -> bool {
-        self.is_other(pid) && self.before.get() != Some(pid)
+    fn is_successor(&self, process: ProcessId) -> bool {
+        self.is_other(process) && self.predecessor.get() != Some(process)
     }
 
     /// That is another process, and it runs.
-    fn is_other(&self, pid: u32) -> bool {
-        pid != self.pid && std::fs::exists(format!("/proc/{pid}")).unwrap_or(false)
+    fn is_other(&self, process: ProcessId) -> bool {
+        process != self.own && process.runs()
     }
 
     /// Tells the decisions when another process begins to serve beside this one, and the log when it has gone, too.
-    /// `pid` is the one that the file names.
-    fn meet(&self, pid: u32, driver: &Rc<Driver>) {
+    fn meet(&self, process: ProcessId, driver: &Rc<Driver>) {
         match self.beside.get() {
-            None if self.is_other(pid) => {
-                log::line(&format!("handover: process {pid} serves beside this one"));
-                self.beside.set(Some(pid));
+            None if self.is_other(process) => {
+                log::line(&format!("handover: process {} serves beside this one", process.pid));
+                self.beside.set(Some(process));
                 driver.take(Input::Beside);
             }
             Some(other) if !self.is_other(other) => {
-                log::line(&format!("handover: process {other} has gone"));
+                log::line(&format!("handover: process {} has gone", other.pid));
                 self.beside.set(None);
             }
             _ => {}
         }
     }
 
-    /// Keeps the file and this process in step for as long as the process lives.
+    /// Keeps the files and this process in step for as long as the process lives.
     pub async fn keep(self: Rc<Self>, driver: Rc<Driver>) {
         let mut turns = tokio::time::interval(TURN);
         turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         for turn in 0_u32.. {
             turns.tick().await;
-            let there = self.read().ok().flatten();
-            self.meet(there.as_ref().map_or(self.pid, |state| state.pid), &driver);
-            if let Some(state) = there.as_ref().filter(|s| s.calls > self.calls.get()) {
-                self.calls.set(state.calls);
-                let known = driver.disabled();
-                state.out.difference(&known).for_each(|id| driver.take(Input::Disable(*id)));
-                known.difference(&state.out).for_each(|id| driver.take(Input::Enable(*id)));
-                log::line(&format!("handover: call {}: {} out of service", state.calls, state.out.len()));
-            }
-            // A call that was written here while the other process was about to write is gone from the file.
-            if there.as_ref().is_some_and(|s| s.calls < self.calls.get()) {
-                self.share(there.clone(), &driver);
-            }
-            if turn % WRITE_EVERY == 0 && !there.is_some_and(|s| self.is_successor(s.pid)) {
-                self.write(&self.of(&driver));
+            let state = self.read_state().ok().flatten();
+            self.meet(state.as_ref().map_or(self.own, |state| state.process), &driver);
+            self.compare_calls(&driver);
+            let due = turn % WRITE_EVERY == 0 || !self.declared.get();
+            if due && !state.is_some_and(|state| self.is_successor(state.process)) {
+                self.write_state(&driver);
             }
         }
     }
 }
 
+/// Such plain data has no form that cannot be written.
+fn to_json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/handover.rs"]
 mod tests;
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -5,12 +5,15 @@
 mod discovery;
 mod driver;
 mod handover;
+mod inherited;
 mod log;
 mod peers;
+mod process;
 mod request;
 mod server;
 mod signals;
 mod socket;
+mod state_file;
 mod system;
 mod upstream;
 
@@ -186,7 +189,7 @@
 
 fn main() -> ExitCode {
     // Before anything is opened: what is open now was inherited.
-    let inherited = match handover::inherited() {
+    let inherited = match inherited::listener() {
         Ok(inherited) => inherited,
         Err(e) => {
             log::line(&e.to_string());
--- a/tests/node_durable_calls.rs
+++ b/tests/node_durable_calls.rs
@@ -97,6 +97,7 @@
     // A file that was written in place would be cut like this.
     let next = site.process(None);
     assert_eq!(site.shares(&next)[1], 0, "out of service");
+    assert!(next.call("disable-server s-0").starts_with("done"));
     drop(next);
     for file in site.files().iter().filter(|name| !name.contains("last")) {
         let path = site.folder.join(file);
@@ -133,3 +134,27 @@
     let next = site.process(None);
     assert_eq!(site.shares(&next)[..2], [0, 0], "both are out of service");
 }
+
+#[test]
+fn a_process_number_that_is_given_again_is_no_other_process() {
+    let site = Site::new("number");
+    let mut node = site.process(None);
+    assert!(node.call("disable-server s-1").starts_with("done"));
+    node.kill();
+    // Its number belongs to a process that has nothing to do with this, and started long before.
+    for file in site.files() {
+        let path = site.folder.join(file);
+        let text = std::fs::read_to_string(&path).unwrap();
+        let given_again = text.replace(
+            &format!("\"pid\":{}", node.pid()),
+            &format!("\"pid\":{}", std::os::unix::process::parent_id()),
+        );
+        state::write(&path, &given_again);
+    }
+    let mut next = site.process(None);
+    assert_eq!(site.shares(&next)[1], 0, "the state counts all the same");
+    next.terminate();
+    assert!(next.ended().success());
+    let log = next.log();
+    assert!(!log.contains("beside this one") && !log.contains("successor"), "{log}");
+}
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -16,6 +16,13 @@
     folder
 }
 
+/// How the state names a process.
+fn identity(pid: u32) -> String {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let started = stat.rsplit_once(") ").unwrap().1.split(' ').nth(19).unwrap().to_owned();
+    format!("\"pid\":{pid},\"started\":{started},")
+}
+
 fn with_console(config: &mut Value) {
     config["console"] = free_address().to_string().into();
 }
@@ -136,7 +143,7 @@
     wait_for("the old process is ready", || old.up() == 200);
     let new = Node::inherit(discovery.address, &socket, &folder, with_console);
     wait_for("the new process is ready", || call_if(&new, "ready").starts_with("done"));
-    let file = folder.join("node-state.json");
+    let file = folder.join("node-calls.json");
     // The new process has read the file, is about to write it, and writes what was in it before the call.
     new.frozen(|| {
         let before = std::fs::read(&file).unwrap();
@@ -155,11 +162,17 @@
     let folder = folder("garbled");
     for (text, why) in [
         (&b"{\"version\":1,\"pid\":1,\"calls\":"[..], "cannot be used"),
-        (b"{\"version\":2}", "not a state of version 1"),
+        (b"{\"version\":2}", "not a state of version 2"),
+        (b"node-state 3 00000000\n", "not a state of version 2"),
+        (b"node-state 2 00000000\n{}", "the checksum is wrong"),
+        (state::with_checksum("{\"pid\":1}").as_bytes(), "cannot be used"),
         (b"\xff\x00", "cannot be used"),
     ] {
         let socket = TcpListener::bind(free_address()).unwrap();
-        std::fs::write(folder.join("node-state.json"), text).unwrap();
+        for file in ["node-state.json", "node-calls.json"] {
+            std::fs::write(folder.join(file), text).unwrap();
+        }
+        let _ = std::fs::remove_file(folder.join("node-state.json.last"));
         let mut node = Node::inherit(discovery.address, &socket, &folder, with_console);
         wait_for("it is ready", || node.up() == 200);
         ask_many(&node, 1);
@@ -183,14 +196,15 @@
     let mut new = Node::inherit(discovery.address, &socket, &folder, with_console);
     wait_for("the new process is ready", || call_if(&new, "ready").starts_with("done"));
     // The old one may have written its state just as the new one declared itself.
-    let state = folder.join("node-state.json");
+    let file = folder.join("node-state.json");
     let told = |pid: u32| format!("\"pid\":{pid},");
-    let named = |pid| std::fs::read_to_string(&state).is_ok_and(|s| s.contains(&told(pid)));
+    let named = |pid| std::fs::read_to_string(&file).is_ok_and(|s| s.contains(&told(pid)));
     wait_for("the new process declares itself", || named(new.pid()));
-    let text = std::fs::read_to_string(&state).unwrap();
+    let text = std::fs::read_to_string(&file).unwrap();
     let draft = folder.join("draft");
-    std::fs::write(&draft, text.replace(&told(new.pid()), &told(old.pid()))).unwrap();
-    std::fs::rename(draft, &state).unwrap();
+    // With the number also the time of its start: that of the new process is in the file.
+    state::write(&draft, &text.replace(&identity(new.pid()), &identity(old.pid())));
+    std::fs::rename(draft, &file).unwrap();
     wait_for("the new process declares itself again", || named(new.pid()));
     // Once the old one knows of a call to the new one it has seen who serves beside it.
     assert!(new.call("disable-server s-0").starts_with("done"));
@@ -229,9 +243,11 @@
         let target = target("s-0", free_address(), "up");
         c["known"] = serde_json::json!({"rev": 3, "all": true, "targets": [target]});
     };
-    let state = r#"{"version":1,"pid":1,"calls":0,"out":[],"list":LIST,"backends":[]}"#;
-    for (list, behind) in [("3", false), ("null", false), ("4", true)] {
-        std::fs::write(folder.join("node-state.json"), state.replace("LIST", list)).unwrap();
+    let first_version = r#"{"version":1,"pid":1,"calls":0,"out":[],"list":LIST,"backends":[]}"#;
+    let present = state::with_checksum(r#"{"pid":1,"started":1,"list":4,"servers":[]}"#);
+    for (list, behind) in [("3", false), ("null", false), ("4", true), ("present", true)] {
+        let text = if list == "present" { present.clone() } else { first_version.replace("LIST", list) };
+        std::fs::write(folder.join("node-state.json"), text).unwrap();
         let calls = discovery.calls();
         let mut node = Node::inherit(discovery.address, &socket, &folder, asked);
         wait_for("it listens", || node.up() == 200);
@@ -288,6 +304,10 @@
     drop(old);
     new.terminate();
     assert!(new.ended().success());
-    assert!(new.log().contains(&format!("{MANY} servers, 1 out of service")));
+    let log = new.log();
+    assert!(
+        log.contains(&format!("{MANY} servers")) && log.contains("1 out of service by earlier calls"),
+        "{log}"
+    );
     let _ = std::fs::remove_dir_all(folder);
 }
--- a/tests/node_system_calls.rs
+++ b/tests/node_system_calls.rs
@@ -106,7 +106,7 @@
     faults.set(Fault::BrokenIo, 40);
     let statuses = play(&node, 10);
     faults.set(Fault::BrokenIo, 0);
-    assert!(statuses.iter().any(|status| *status == 200), "{statuses:?}");
+    assert!(statuses.contains(&200), "{statuses:?}");
     wait_for("the node serves again", || {
         std::thread::sleep(Duration::from_millis(20));
         attempt(node.address, &request("page", 4000)).is_some_and(|m| m.status() == 200)
--- a/tests/unit/handover.rs
+++ b/tests/unit/handover.rs
@@ -1,40 +1,50 @@
 //! What one process leaves to the next, as it is written and read.
 use super::*;
 
+fn memory(backend: u64, cold_since_ms: Option<f64>, prat_ms: Option<f64>) -> Memory {
+    Memory { backend: BackendId(backend), cold_since_ms, prat_ms, cap: 2.25, served: 7.5 }
+}
+
 #[test]
 fn a_state_is_read_as_it_was_written_and_half_of_one_is_none() {
-    let state = State {
-        pid: 7,
-        calls: 3,
-        out: [BackendId(u64::MAX), BackendId(1)].into(),
-        list: Some(41),
-        backends: vec![
-            Memory {
-                backend: BackendId(1),
-                cold_since_ms: Some(1.5),
-                prat_ms: None,
-                cap: 2.25,
-                served: 7.5,
-            },
-            Memory {
-                backend: BackendId(2),
-                cold_since_ms: None,
-                prat_ms: Some(9.0),
-                cap: 0.5,
-                served: 0.0,
-            },
-        ],
-    };
-    let json = state.to_json();
-    assert_eq!(State::from_json(&json), Some(state));
+    let process = ProcessId { pid: 7, started: 12 };
+    let servers = vec![
+        ServerState::new(&memory(u64::MAX, Some(1.5), None), 100.0),
+        ServerState::new(&memory(2, None, Some(9.0)), 1.0),
+    ];
+    let state = ProcessState { process, list: Some(41), servers };
+    let text = to_json(&state);
+    assert_eq!(parse(Ok(Some(text.clone()))), Ok(Some(state)));
+    let json: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
     let fields: Vec<String> = json.as_object().map(|o| o.keys().cloned().collect()).unwrap_or_default();
-    assert_eq!(fields.len(), 6);
-    for field in fields {
-        let mut less = json.clone();
-        less.as_object_mut().map(|o| o.remove(&field));
-        assert_eq!(State::from_json(&less), None, "without {field}");
-        let mut other = json.clone();
-        other[&field] = json!("x");
-        assert_eq!(State::from_json(&other), None, "{field} of another kind");
+    assert_eq!(fields.len(), 4);
+    for field in fields.iter().filter(|field| *field != "list") {
+        let mut half = json.clone();
+        half.as_object_mut().and_then(|o| o.remove(field));
+        assert!(parse::<ProcessState>(Ok(Some(half.to_string()))).is_err(), "{field}");
     }
+    let calls = Calls { number: 3, disabled: [1, u64::MAX].into() };
+    assert_eq!(parse(Ok(Some(to_json(&calls)))), Ok(Some(calls)));
+}
+
+#[test]
+fn what_a_process_has_learned_holds_for_spans_whatever_the_clock_of_the_next() {
+    let state = ServerState::new(&memory(1, Some(4_000.0), Some(5_600.0)), 5_000.0);
+    let next = state.memory(9e9);
+    assert_eq!(next.cold_since_ms, Some(9e9 - 1_000.0));
+    assert_eq!(next.prat_ms, Some(9e9 + 600.0));
+    // One whose time has come by then is due at once.
+    let due = ServerState::new(&memory(1, None, Some(4_000.0)), 5_000.0).memory(0.0);
+    assert_eq!((due.cold_since_ms, due.prat_ms), (None, Some(0.0)));
+}
+
+#[test]
+fn a_state_of_version_1_is_taken_over_without_its_times() {
+    let text = r#"{"version":1,"pid":5,"calls":2,"out":["00000000000000ff"],"list":3,
+        "backends":[{"id":"0000000000000001","cold_since_ms":1.0,"prat_ms":null,"cap":2.0,"served":1.0}]}"#;
+    let (calls, state) = FirstVersion::read(text).unwrap_or_else(|| unreachable!("it is whole"));
+    assert_eq!(calls, Calls { number: 2, disabled: [255].into() });
+    assert_eq!((state.list, state.servers.len()), (Some(3), 0));
+    assert!(FirstVersion::read(&text.replace("ff", "fg")).is_none());
+    assert!(FirstVersion::read(&text.replace("\"version\":1", "\"version\":3")).is_none());
 }
