--- /dev/null
+++ b/tests/node_clock.rs
@@ -0,0 +1,106 @@
+//! The wall clock may be stepped, forward or back: a restarted server is cold for its time all the same.
+mod node;
+
+use node::faults::{Fault, Faults};
+use node::*;
+use serde_json::Value;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const HOUR_MS: i64 = 3_600_000;
+
+fn wall_ms() -> i64 {
+    i64::try_from(SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()).unwrap()
+}
+
+/// Three servers, of which discovery says when they started.
+struct Site {
+    records: Vec<Record>,
+    targets: Vec<Value>,
+    discovery: Discovery,
+}
+
+impl Site {
+    fn new(boot_ms: i64) -> Site {
+        let records: Vec<Record> = (0..3).map(|_| Record::default()).collect();
+        let addresses: Vec<_> = records.iter().map(|r| backend(r, |_, _| ok(b"ok"))).collect();
+        let mut targets = all_up(&addresses);
+        targets[0]["boot_ms"] = boot_ms.into();
+        Site { records, discovery: Discovery::start(targets.clone()), targets }
+    }
+
+    /// The first server has restarted, as discovery has it.
+    fn restarted(&mut self, boot_ms: i64) {
+        self.targets[0]["boot_ms"] = boot_ms.into();
+        self.discovery.set(self.targets.clone());
+    }
+
+    /// How many of `count` requests the first server gets.
+    fn share(&self, node: &Node, count: usize) -> usize {
+        let before = self.records[0].count();
+        (0..count).for_each(|_| assert_eq!(ask(node.address, &request("page", 4000)).status(), 200));
+        self.records[0].count() - before
+    }
+
+    /// Waits until the node has heard of the restart: the server gets next to nothing. A warm one gets a third.
+    fn becomes_cold(&self, node: &Node) {
+        wait_for("the restarted server is cold", || self.share(node, 60) <= 10);
+        let share = self.share(node, 200);
+        assert!(share <= 36, "{share} of 200 requests went to a cold server");
+    }
+}
+
+#[test]
+fn a_restart_after_the_clock_went_back_is_a_restart() {
+    for step in [HOUR_MS, 5_000] {
+        let before = wall_ms() - 60_000;
+        let mut site = Site::new(before);
+        let faults = Faults::new(1);
+        let node = Node::start_with(site.discovery.address, &faults, |_| {});
+        let share = site.share(&node, 90);
+        assert!(share >= 10, "{share} of 90 while it is warm");
+        faults.set(Fault::WallOffsetMs, -step);
+        // By the stepped clock, and for an hour before the time of its last start.
+        site.restarted(wall_ms() - step);
+        site.becomes_cold(&node);
+    }
+}
+
+#[test]
+fn a_server_gets_warm_in_its_time_after_the_clock_went_forward() {
+    let mut site = Site::new(0);
+    let faults = Faults::new(2);
+    let node = Node::start_with(site.discovery.address, &faults, |c| {
+        c["settings"]["rules"]["coldMs"] = 1500.0.into();
+        c["settings"]["rules"]["startCapacity"] = 0.01.into();
+    });
+    faults.set(Fault::WallOffsetMs, HOUR_MS);
+    site.restarted(wall_ms() + HOUR_MS);
+    wait_for("it has warmed", || site.share(&node, 90) >= 20);
+}
+
+#[test]
+fn a_start_in_the_future_is_one_of_just_now() {
+    let mut site = Site::new(0);
+    let faults = Faults::new(3);
+    let node = Node::start_with(site.discovery.address, &faults, |c| {
+        c["settings"]["rules"]["coldMs"] = 1500.0.into();
+        c["settings"]["rules"]["startCapacity"] = 0.01.into();
+    });
+    // Another machine's clock is ahead of this one's.
+    site.restarted(wall_ms() + HOUR_MS);
+    wait_for("it has warmed", || site.share(&node, 90) >= 20);
+}
+
+#[test]
+fn the_clock_going_forward_ends_no_cold_time() {
+    let mut site = Site::new(0);
+    let faults = Faults::new(4);
+    let node = Node::start_with(site.discovery.address, &faults, |_| {});
+    site.restarted(wall_ms());
+    site.becomes_cold(&node);
+    faults.set(Fault::WallOffsetMs, HOUR_MS);
+    // Told once more, as it stands, along with something else.
+    site.targets[1]["capacity_hint"] = 1.01.into();
+    site.discovery.set(site.targets.clone());
+    site.becomes_cold(&node);
+}
