Find starts that others state by the wall clock on the monotonic one

The node compared boot_ms with a clock that had the wall time of its own start and ran on from there.

src/node/clock.rs keeps what the difference of the two clocks was, and when, and finds a moment in the period in which the wall clock showed it; the later one where it did twice, now where it never did. Another boot_ms than the one known is a restart, whatever the clocks say. Ruled out: the decisions, which compare what they are given.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -134,7 +134,7 @@
     if health != Health::Up {
         // Of one that leaves nothing else matters: whatever cannot be read must not keep it alive.
         let entry = Entry { backend, zone: 0, cell: 0, health, units: 1.0, ready_at_ms: 0.0 };
-        return Ok(Target { entry, address: address.ok() });
+        return Ok(Target { entry, boot_ms: 0.0, address: address.ok() });
     }
     let number = |field: &'static str, default: f64| match line.get(field) {
         None | Some(Value::Null) => Ok(default),
@@ -150,10 +150,9 @@
         cell: cell as u32,
         health,
         units: number("capacity_hint", 1.0)?,
-        // Wall time, which is what the driver's clock counts in.
-        ready_at_ms: number("boot_ms", 0.0)?,
+        ready_at_ms: 0.0,
     };
-    Ok(Target { entry, address: Some(address?) })
+    Ok(Target { entry, boot_ms: number("boot_ms", 0.0)?, address: Some(address?) })
 }
 
 /// Keeps the list fresh for as long as the node lives.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -3,6 +3,7 @@
 //! It keeps what the decisions do not: where backends are, the timers, and which requests and attempts are
 //! open. It decides nothing itself.
 
+use crate::clock::Clock;
 use crate::log;
 use crate::peers::Peers;
 use crate::upstream::{Attempt, Call, Conn, End, Finish, Reply, Upstream};
@@ -16,40 +17,10 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
-/// The decisions' clock: milliseconds since 1970 as the system had it at the start, and monotonic from
-/// there. So what discovery tells in wall time can be compared with it, and always converts alike.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    start_ms: f64,
-}
-
-impl Clock {
-    /// Starts now.
-    pub fn new() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), start_ms: wall.as_secs_f64() * 1000.0 }
-    }
-
-    /// Now.
-    pub fn now_ms(&self) -> f64 {
-        self.at_ms(Instant::now())
-    }
-
-    /// A moment since the start, on this clock.
-    pub fn at_ms(&self, at: Instant) -> f64 {
-        self.start_ms + at.saturating_duration_since(self.start).as_secs_f64() * 1000.0
-    }
-
-    fn instant(&self, at_ms: f64) -> Instant {
-        self.start + Duration::from_secs_f64(((at_ms - self.start_ms) / 1000.0).clamp(0.0, 1e9))
-    }
-}
-
 /// A request's final answer.
 pub enum Answer {
     /// A backend's.
@@ -108,8 +79,10 @@
 /// One line of discovery's list.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
-    /// What the decisions need.
+    /// What the decisions need, but for the time of its start.
     pub entry: Entry,
+    /// When it last started, by the wall clock in milliseconds since 1970; 0 for long ago.
+    pub boot_ms: f64,
     /// Where it listens; one that was removed need not say.
     pub address: Option<SocketAddr>,
 }
@@ -182,9 +155,20 @@
 struct Endpoint {
     address: SocketAddr,
     up: bool,
+    /// When it last started: as the list states it, by which a further start is told, and on the decisions' clock.
+    boot_ms: f64,
     ready_at_ms: f64,
 }
 
+impl Endpoint {
+    /// When it started anew, by what the list now states. That is after its last start: where the clocks say otherwise
+    /// they cannot be relied on, and it is as cold as can be.
+    fn restarted_at(&self, boot_ms: f64, clock: &Clock) -> f64 {
+        let at_ms = clock.of_wall(boot_ms);
+        if at_ms > self.ready_at_ms { at_ms } else { clock.now_ms() }
+    }
+}
+
 struct Core {
     balancer: Balancer,
     open: HashMap<RequestId, Open>,
@@ -308,7 +292,7 @@
         loop {
             let next = self.inbox.borrow_mut().pop_front();
             let Some(input) = next else { return };
-            let Some(event) = core.event(input, &self.upstream) else { continue };
+            let Some(event) = core.event(input, &self.upstream, &self.clock) else { continue };
             core.balancer.handle(self.clock.now_ms(), event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(&mut core, action);
@@ -463,12 +447,12 @@
     }
 
     /// Notes what happened and says it in the decisions' words; none where they need not hear of it.
-    fn event(&mut self, input: Input, upstream: &Upstream) -> Option<Event> {
+    fn event(&mut self, input: Input, upstream: &Upstream, clock: &Clock) -> Option<Event> {
         Some(match input {
             Input::Start => Event::Start,
             Input::List(kind, targets) => {
-                self.list(kind, &targets, upstream);
-                Event::List { kind, entries: targets.into_iter().map(|t| t.entry).collect() }
+                let entries = self.list(kind, targets, upstream, clock);
+                Event::List { kind, entries }
             }
             Input::Arrived(request, call, responder) => {
                 self.open
@@ -520,7 +504,15 @@
         }
     }
 
-    fn list(&mut self, kind: ListKind, targets: &[Target], upstream: &Upstream) {
+    /// Takes in a list, and says it in the decisions' words.
+    fn list(
+        &mut self,
+        kind: ListKind,
+        targets: Vec<Target>,
+        upstream: &Upstream,
+        clock: &Clock,
+    ) -> Vec<Entry> {
+        let mut entries = Vec::with_capacity(targets.len());
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             // Whoever the whole list leaves out is gone.
             for endpoint in self.endpoints.values_mut() {
@@ -528,7 +520,16 @@
             }
             self.listed.clear();
         }
-        for Target { entry, address } in targets {
+        for Target { mut entry, boot_ms, address } in targets {
+            let known = self.endpoints.get(&entry.backend);
+            let restarted = boot_ms > 0.0 && known.is_none_or(|known| known.boot_ms != boot_ms);
+            entry.ready_at_ms = match known {
+                Some(known) if restarted => known.restarted_at(boot_ms, clock),
+                Some(known) => known.ready_at_ms,
+                None if restarted => clock.of_wall(boot_ms),
+                None => 0.0,
+            };
+            entries.push(entry);
             let up = entry.health == Health::Up;
             if entry.health == Health::Gone {
                 self.listed.remove(&entry.backend);
@@ -538,14 +539,14 @@
             match (self.endpoints.get_mut(&entry.backend), address) {
                 (Some(endpoint), address) => {
                     let address = address.unwrap_or(endpoint.address);
-                    if address != endpoint.address || entry.ready_at_ms > endpoint.ready_at_ms {
+                    if address != endpoint.address || restarted {
                         // What was connected to the old process or endpoint is of no use.
                         upstream.release(entry.backend);
                     }
-                    *endpoint = Endpoint { address, up, ready_at_ms: entry.ready_at_ms };
+                    *endpoint = Endpoint { address, up, boot_ms, ready_at_ms: entry.ready_at_ms };
                 }
                 (None, Some(address)) => {
-                    let endpoint = Endpoint { address: *address, up, ready_at_ms: entry.ready_at_ms };
+                    let endpoint = Endpoint { address, up, boot_ms, ready_at_ms: entry.ready_at_ms };
                     self.endpoints.insert(entry.backend, endpoint);
                 }
                 (None, None) => {}
@@ -557,5 +558,6 @@
             }
             endpoint.up
         });
+        entries
     }
 }
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -1,5 +1,6 @@
 //! One node: the decisions of the crate `birchspoke` on real sockets.
 
+mod clock;
 mod config;
 mod console;
 mod discovery;
@@ -48,7 +49,7 @@
 /// What a connection may read ahead: a head must fit, and no more than a body is of use.
 const LEAST_BUFFER: usize = 8 * 1024;
 const MOST_BUFFER: usize = 64 * 1024;
-/// How often idle connections to backends are looked through.
+/// How often idle connections to backends are looked through, and the wall clock is looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 /// SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer shortly
 /// before that is failed.
@@ -147,12 +148,14 @@
         let driver = driver.clone();
         spawn_local(async move { peers.listen(&driver).await });
     }
+    let swept = driver.clone();
     spawn_local(async move {
         let mut turn = tokio::time::interval(SWEEP);
         turn.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             turn.tick().await;
             upstream.sweep();
+            swept.clock.observe_wall();
         }
     });
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
