--- /dev/null
+++ b/soak/src/settings.rs
@@ -0,0 +1,126 @@
+//! The deployment that the soak plays: classes, rules and sizes, and the configuration of each node.
+
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a request of a class may do, and how long its client waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Safe to repeat.
+    View,
+    /// Carries a key; repeats within `KEY_TTL` are dropped by every server.
+    Bid,
+    /// Must never run twice.
+    Order,
+}
+
+/// For how long servers drop a repeat.
+pub const KEY_TTL: Duration = Duration::from_millis(2000);
+/// Sends to a server that leaves end within this.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(750);
+/// A restarted server is warm after this, and starts at this part of its capacity.
+pub const COLD_TIME: Duration = Duration::from_secs(6);
+/// See `COLD_TIME`.
+pub const START_CAPACITY: f64 = 0.25;
+/// A cold server falls over when it is sent more than this multiple of its capacity over this time.
+pub const FALL_MULTIPLE: f64 = 3.0;
+/// See `FALL_MULTIPLE`.
+pub const FALL_TIME: Duration = Duration::from_secs(1);
+/// Attempts that one request may have.
+pub const MOST_ATTEMPTS: usize = 4;
+/// Idle connections to servers are closed by them after this.
+pub const SERVER_IDLE: Duration = Duration::from_secs(3);
+/// Descriptors that a node may hold.
+pub const SOCKETS: usize = 256;
+
+impl Class {
+    /// All of them.
+    pub const ALL: [Class; 3] = [Class::View, Class::Bid, Class::Order];
+
+    /// As the settings name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Class::View => "view",
+            Class::Bid => "bid",
+            Class::Order => "order",
+        }
+    }
+
+    /// How long a client waits at most.
+    pub fn limit(self) -> Duration {
+        match self {
+            Class::View => Duration::from_millis(1000),
+            Class::Bid => Duration::from_millis(2000),
+            Class::Order => Duration::from_millis(1500),
+        }
+    }
+}
+
+/// How nodes hear of the list of servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Membership {
+    /// An agent beside each node has it.
+    Pushed,
+    /// One service for all nodes is asked.
+    Asked,
+}
+
+/// The settings that every node is given.
+pub fn settings(membership: Membership, nodes: usize, slot: usize) -> Value {
+    let mode = match membership {
+        Membership::Pushed => "pushed",
+        Membership::Asked => "on_request",
+    };
+    let class = |class: Class, semantics: &str, objective: u32, value: u32| {
+        json!({"name": class.name(), "semantics": semantics, "group": "all", "objectiveMs": objective,
+               "hardLimitMs": class.limit().as_millis() as u64, "value": value,
+               "keyTtlMs": KEY_TTL.as_millis() as u64})
+    };
+    json!({
+        "areas": ["a"], "zone": "a", "instances": nodes, "slotNo": slot, "tickMs": 5.0,
+        "membershipMode": mode,
+        "classes": [class(Class::View, "idempotent", 500, 3), class(Class::Bid, "deduplicated", 800, 8),
+                    class(Class::Order, "at_most_once", 700, 10)],
+        "reporting": {"names": ["rif"], "via": "answers"},
+        "limits": {"attemptsCap": MOST_ATTEMPTS, "connIdleMs": SERVER_IDLE.as_millis() as u64,
+                   "connectTimeoutMs": 200.0, "mayCancel": true, "maxRetryAfterMs": 1000.0, "maxStreams": 1,
+                   "openCap": 2000, "peerMessages": true, "probing": false, "retryAfter": true,
+                   "secondCopies": true},
+        "rules": {"coldMs": COLD_TIME.as_millis() as u64, "startCapacity": START_CAPACITY,
+                  "fallMultiple": FALL_MULTIPLE, "fallMs": FALL_TIME.as_millis() as u64,
+                  "drainGraceMs": DRAIN_GRACE.as_millis() as u64, "mustAskInMs": 10000.0}
+    })
+}
+
+/// Where a node is reached, and reaches others.
+#[derive(Clone, Debug)]
+pub struct Addresses {
+    /// Clients connect here.
+    pub listen: SocketAddr,
+    /// Datagrams of other nodes arrive here.
+    pub peers: SocketAddr,
+    /// Discovery, before and after a new configuration.
+    pub discovery: [SocketAddr; 2],
+}
+
+/// The configuration file of one process.
+pub fn config(
+    name: &str,
+    addresses: &Addresses,
+    discovery: SocketAddr,
+    console: SocketAddr,
+    peers: &[SocketAddr],
+    known: &Value,
+    settings: &Value,
+    seed: u64,
+) -> Value {
+    let peers: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+    json!({
+        "name": name, "listen": addresses.listen.to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{seed:016x}"), "console": console.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": SOCKETS},
+        "peer_listen": addresses.peers.to_string(), "peers": peers,
+        "known": known, "settings": settings
+    })
+}
--- a/tests/node/faults.rs
+++ b/tests/node/faults.rs
@@ -1,9 +1,11 @@
 //! System calls that fail in a node under test: the preloaded library of `tests/shim/faults.c`.
+#![allow(dead_code)]
 
 use std::fs::File;
+use std::io::Write;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Stdio};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -37,15 +39,12 @@
 fn library() -> &'static Path {
     static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
     LIBRARY.get_or_init(|| {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let path = folder.join(format!("libfaults-{}.so", std::process::id()));
-        let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/shim/faults.c");
+        let path = std::env::temp_dir().join(format!("libfaults-{}.so", std::process::id()));
         let mut compile = Command::new("cc");
-        compile
-            .args(["-O2", "-Wall", "-Wextra", "-Werror", "-shared", "-fPIC", "-o"])
-            .arg(&path)
-            .arg(source);
-        assert!(compile.arg("-ldl").status().unwrap().success(), "tests/shim/faults.c does not compile");
+        compile.args(["-O2", "-Wall", "-Wextra", "-Werror", "-shared", "-fPIC", "-o"]).arg(&path);
+        let mut compiler = compile.args(["-x", "c", "-", "-ldl"]).stdin(Stdio::piped()).spawn().unwrap();
+        compiler.stdin.take().unwrap().write_all(include_bytes!("../shim/faults.c")).unwrap();
+        assert!(compiler.wait().unwrap().success(), "tests/shim/faults.c does not compile");
         path
     })
 }
@@ -62,7 +61,7 @@
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let name = format!("faults-{}-{n}", std::process::id());
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let path = std::env::temp_dir().join(name);
         std::fs::write(&path, vec![0; NUMBERS * 8]).unwrap();
         let file = File::options().write(true).open(&path).unwrap();
         let faults = Faults { path, file };
