Show that a request that waited for its process is given time it has not: one test that fails

Two requests wait in the queue of the socket while no process runs; the next one serves the one that has no time left, and tells a server too much for the other.

--- a/soak/src/node.rs
+++ b/soak/src/node.rs
@@ -5,7 +5,7 @@
 use crate::faults::{Fault, Faults};
 use crate::http::Message;
 use crate::record::{Gap, Record, Rule};
-use crate::settings::{Addresses, config};
+use crate::settings::{Addresses, Start, config};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::Value;
@@ -113,16 +113,14 @@
         let console = free_address();
         let name = format!("n{}", self.number);
         let place = self.site.discovery.place_of(self.number);
-        let config = config(
-            &name,
-            &self.addresses,
-            self.addresses.discovery[place],
+        let start = Start {
+            name: name.clone(),
+            discovery: self.addresses.discovery[place],
             console,
-            &self.site.peers,
-            &self.site.discovery.known(),
-            &self.site.settings[self.number],
-            self.site.seed ^ u64::from(n) << 32 ^ self.number as u64,
-        );
+            seed: self.site.seed ^ u64::from(n) << 32 ^ self.number as u64,
+        };
+        let (known, settings) = (self.site.discovery.known(), &self.site.settings[self.number]);
+        let config = config(&start, &self.addresses, &self.site.peers, &known, settings);
         let file = self.config_file();
         std::fs::write(&file, config.to_string()).unwrap();
         let log = self.site.folder.join(format!("{name}-{n}.log"));
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -111,21 +111,18 @@
         stalls.abort();
         let breaks = oracle::judge(&record, &|at| run.discovery.told_by(at));
         let outcome = run.outcome(breaks);
-        match &plan.logs {
-            Some(logs) => {
-                let _ = std::fs::create_dir_all(logs);
-                for entry in std::fs::read_dir(&folder).unwrap().flatten().filter(|e| e.path().is_file()) {
-                    let _ = std::fs::copy(entry.path(), logs.join(entry.file_name()));
-                }
+        if let Some(logs) = &plan.logs {
+            let _ = std::fs::create_dir_all(logs);
+            for entry in std::fs::read_dir(&folder).unwrap().flatten().filter(|e| e.path().is_file()) {
+                let _ = std::fs::copy(entry.path(), logs.join(entry.file_name()));
             }
-            None => {}
         }
         let _ = std::fs::remove_dir_all(&folder);
         outcome
     }
 
     async fn set_up(plan: &Plan, record: Arc<Record>, folder: PathBuf) -> Run {
-        let membership = if plan.seed % 2 == 0 { Membership::Pushed } else { Membership::Asked };
+        let membership = if plan.seed.is_multiple_of(2) { Membership::Pushed } else { Membership::Asked };
         let mut servers = Vec::new();
         for number in 0..plan.servers {
             servers.push(Server::start(number, free_address(), record.clone()).await);
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -154,7 +154,7 @@
             return None;
         }
         let nonce = self.nonce.fetch_add(1, Ordering::SeqCst);
-        if manner == Manner::Errors && nonce % 3 != 0 {
+        if manner == Manner::Errors && !nonce.is_multiple_of(3) {
             return Some(Reply::whole(answer("500 Internal Server Error", "", b"error")));
         }
         self.waiting.fetch_add(1, Ordering::SeqCst);
@@ -166,7 +166,7 @@
         let body = body(id, self.number, nonce);
         let headers = format!("Endpoint-Load-Metrics: TEXT inflight={load}\r\n");
         let mut bytes = answer("200 OK", &headers, body.as_bytes());
-        if manner == Manner::Spoils && nonce % 2 == 0 {
+        if manner == Manner::Spoils && nonce.is_multiple_of(2) {
             match nonce % 3 {
                 0 => bytes.truncate(bytes.len() - 5),
                 1 => bytes.truncate(20),
--- a/soak/src/settings.rs
+++ b/soak/src/settings.rs
@@ -104,21 +104,31 @@
     pub discovery: [SocketAddr; 2],
 }
 
+/// What is told to one process alone.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Its node's name.
+    pub name: String,
+    /// Where it calls discovery.
+    pub discovery: SocketAddr,
+    /// Where it takes calls.
+    pub console: SocketAddr,
+    /// Of its random numbers.
+    pub seed: u64,
+}
+
 /// The configuration file of one process.
 pub fn config(
-    name: &str,
+    start: &Start,
     addresses: &Addresses,
-    discovery: SocketAddr,
-    console: SocketAddr,
     peers: &[SocketAddr],
     known: &Value,
     settings: &Value,
-    seed: u64,
 ) -> Value {
     let peers: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
     json!({
-        "name": name, "listen": addresses.listen.to_string(), "discovery": discovery.to_string(),
-        "seed": format!("{seed:016x}"), "console": console.to_string(),
+        "name": start.name, "listen": addresses.listen.to_string(), "discovery": start.discovery.to_string(),
+        "seed": format!("{:016x}", start.seed), "console": start.console.to_string(),
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": SOCKETS},
         "peer_listen": addresses.peers.to_string(), "peers": peers,
         "known": known, "settings": settings
--- /dev/null
+++ b/tests/node_waiting.rs
@@ -0,0 +1,60 @@
+//! Requests that waited for the node before it took their connection.
+mod node;
+
+use node::*;
+use serde_json::Value;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How much more time than is left a server may be told.
+const SLACK: Duration = Duration::from_millis(150);
+
+#[test]
+fn a_request_that_waited_for_the_process_is_given_only_the_time_that_is_left() {
+    let record = Record::default();
+    let told: Arc<Mutex<Vec<(u64, Instant)>>> = Arc::default();
+    let seen = told.clone();
+    let address = backend(&record, move |_, message| {
+        let expires = message.header("x-expires-in-ms").and_then(|ms| ms.parse().ok()).unwrap_or(u64::MAX);
+        seen.lock().unwrap().push((expires, Instant::now()));
+        ok(b"ok")
+    });
+    let discovery = Discovery::start(all_up(&[address]));
+    let socket = TcpListener::bind(free_address()).unwrap();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("waiting-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let known = serde_json::json!({"rev": 1, "all": true, "targets": all_up(&[address])});
+    let console = |c: &mut Value| {
+        c["console"] = free_address().to_string().into();
+        c["known"] = known.clone();
+    };
+    let mut first = Node::inherit(discovery.address, &socket, &folder, console);
+    wait_for("the first process is ready", || first.up() == 200);
+    first.kill();
+    told.lock().unwrap().clear();
+    // Nobody takes these before the next process; the second has no time left by then.
+    let send = |wait_ms: u64| {
+        let mut stream = TcpStream::connect(socket.local_addr().unwrap()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(&request("page", wait_ms)).unwrap();
+        (stream, Instant::now())
+    };
+    let (mut long, sent) = send(3000);
+    let (mut short, _) = send(300);
+    std::thread::sleep(Duration::from_millis(800));
+    let _next = Node::inherit(discovery.address, &socket, &folder, console);
+    let status =
+        |stream: &mut TcpStream| Message::read(&mut std::io::BufReader::new(stream)).unwrap().status();
+    assert_eq!(status(&mut long), 200);
+    assert_ne!(status(&mut short), 200, "its client has given up");
+    let told = told.lock().unwrap();
+    assert_eq!(told.len(), 1, "no server gets the one that is over");
+    let (expires, at) = told[0];
+    let left = Duration::from_millis(3000).saturating_sub(at - sent);
+    assert!(Duration::from_millis(expires) <= left + SLACK, "{expires} ms told with {left:?} left");
+    let _ = std::fs::remove_dir_all(folder);
+}
