Count a request's time from its first byte, however long its connection waited

The node counted from when it read a request. A connection may wait before that in the queue of the listening socket: from before the process started, where the platform holds the socket, or while descriptors are short. Its client counts on.

The listening socket now has the system note times; a look at the first byte of a new connection, which leaves it unread, tells since when it waits. Not taken: the time at which accepting was last blocked, which would hold all that came in a flood for as old as its first.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -1,5 +1,6 @@
 //! One node: the decisions of the crate `birchspoke` on real sockets.
 
+mod arrival;
 mod clock;
 mod config;
 mod console;
@@ -94,6 +95,7 @@
         None => listen(&config),
     };
     let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    arrival::note_times(&listener);
     let console = match config.console {
         Some(at) => Some(Console::bind(at).map_err(|e| format!("console: {at}: {e}"))?),
         None => None,
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -119,6 +119,15 @@
     pub id: OpenId,
 }
 
+/// When a request came.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Its head was read.
+    pub head: Instant,
+    /// Its first byte came, if it waited for this node to take its connection: its client counts from then.
+    pub waited_since: Option<Instant>,
+}
+
 /// Reads requests.
 pub struct Reader {
     names: Rc<Names>,
@@ -136,7 +145,7 @@
     }
 
     /// Reads and checks a request. What is wrong with it is answered here; no backend hears of it.
-    pub async fn read(&self, arrived: Instant, head: Parts, body: Incoming) -> Result<Reading, Rejection> {
+    pub async fn read(&self, arrival: Arrival, head: Parts, body: Incoming) -> Result<Reading, Rejection> {
         let wrong = |text| Rejection(StatusCode::BAD_REQUEST, text);
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         let Some(id) = head.headers.get("x-trace-id").filter(|id| !id.is_empty()).cloned() else {
@@ -177,7 +186,7 @@
         if length.is_some_and(|l| l > BODY_LIMIT as u64) {
             return Err(Rejection(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
         }
-        let (body, room) = match self.collect(body, length, arrived).await {
+        let (body, room) = match self.collect(body, length, arrival.head).await {
             Ok(collected) => collected,
             Err(Unread::NoRoom) => {
                 return Err(Rejection(StatusCode::SERVICE_UNAVAILABLE, "no room for its body\n"));
@@ -191,7 +200,7 @@
             return Err(wrong("a request that is safe to repeat has no body\n"));
         }
         // The time counts from the last byte: of a body that passes on, that comes later.
-        let arrived = Instant::now();
+        let arrived = arrival.waited_since.unwrap_or_else(Instant::now);
         let expires = arrived + wait.saturating_sub(LAST_MARGIN);
         // Whoever holds back its body holds no id.
         let Some(id) = self.ids.open(id) else {
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,9 +1,10 @@
 //! The client side: connections, what they ask, and the answers they get.
 
 use crate::BACKLOG;
+use crate::arrival;
 use crate::driver::{Answer, Driver};
 use crate::log;
-use crate::request::{LocalReply, Reader, Reading, closing, full, plain};
+use crate::request::{Arrival, LocalReply, Reader, Reading, closing, full, plain};
 use crate::socket::{Descriptors, Slot, Socket};
 use crate::system::{AcceptError, Acceptor};
 use hyper::body::Incoming;
@@ -73,6 +74,8 @@
     busy: Cell<u32>,
     /// It has brought a whole head.
     asked: Cell<bool>,
+    /// When its first request came, if that waited for this node to take the connection.
+    waited_since: Cell<Option<Instant>>,
     idle_since: Cell<Instant>,
     /// Bytes read when it last turned idle.
     read: Cell<u64>,
@@ -396,11 +399,13 @@
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
+        let waited_since = arrival::first_byte(&stream);
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
             socket: socket.clone(),
             busy: Cell::new(0),
             asked: Cell::new(false),
+            waited_since: Cell::new(waited_since),
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
             stuck_since: Cell::new(None),
@@ -427,7 +432,7 @@
                     self.reject(BOTH_FRAMINGS);
                     closing(StatusCode::BAD_REQUEST, BOTH_FRAMINGS)
                 } else {
-                    self.respond(request, &client.socket).await?
+                    self.respond(request, client).await?
                 };
                 client.taking.set(response.body().passes());
                 if response.body().passes() {
@@ -492,13 +497,13 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, client: &Socket) -> Result<LocalReply, Left> {
-        let arrived = Instant::now();
+    async fn respond(&self, request: Request<Incoming>, client: &Client) -> Result<LocalReply, Left> {
+        let arrival = Arrival { head: Instant::now(), waited_since: client.waited_since.take() };
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            match self.reader.read(arrived, head, body).await {
-                Ok(reading) => self.ask(reading, client).await?,
+            match self.reader.read(arrival, head, body).await {
+                Ok(reading) => self.ask(reading, &client.socket).await?,
                 Err(why) => {
                     self.reject(why.text());
                     why.answer()
