--- a/soak/src/node.rs
+++ b/soak/src/node.rs
@@ -236,7 +236,7 @@
             }
         }
         let log = std::fs::read_to_string(&process.log).unwrap_or_default();
-        let counted = log.lines().find(|line| line.contains("violation"));
+        let counted = log.lines().find(|line| line.contains("violation:"));
         if let Some(line) = counted {
             self.broke(Rule::Counted, line);
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::{
     Action, BackendId, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Memory, Outcome,
-    Reporting, Request, RequestId, Settings, SettingsError,
+    Reason, Reporting, Request, RequestId, Settings, SettingsError,
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -869,7 +869,7 @@
             // A client in a hurry looks like one at its last try. Where a late answer still has worth, the
             // doubt is the client's: held for old, such clients were all shed in easy times.
             let retry = self.s.marks_retry.then_some(request.retry);
-            age = if late_worth > 0.0 { 0.0 } else { l.age(given, deadline, retry) };
+            age = if late_worth > 0.0 { 0.0 } else { l.age(given + request.waited_ms, deadline, retry) };
             l.asked += if age > 0.0 { 0.0 } else { 1.0 };
         }
         if age >= aim {
@@ -878,6 +878,7 @@
         let mean = self.learned.get(request.class).map_or(1.0, |l| l.mean.max(1.0));
         let cost = request.effort_ms.filter(|e| e.is_finite() && *e > 0.0).unwrap_or(mean);
         let mut let_in = worth > 0.0;
+        let mut reason = Reason::TooLate;
         self.refused.too_late += u32::from(!let_in);
         if let Some(offered) = self.admission.offered.get_mut(request.class) {
             let o = usize::from(age >= aim);
@@ -885,6 +886,7 @@
             let chance = self.admission.chance[request.class][o];
             let kept = chance >= 1.0 || !let_in || self.rng.f64() < chance;
             self.refused.shed += u32::from(!kept);
+            reason = if let_in { Reason::Shed } else { reason };
             let_in = let_in && kept;
             let room = self.admission.room * FIRST_CROWD * self.places.len() as f64
                 / f64::from(self.s.instances.max(1));
@@ -893,6 +895,7 @@
             let crowded = self.s.reporting != Reporting::None && f64::from(self.in_flight) + 1.0 > room;
             self.admission.crowded |= crowded;
             self.refused.crowded += u32::from(let_in && crowded);
+            reason = if let_in { Reason::Crowded } else { reason };
             let_in = let_in && !crowded;
         }
         if let Some(key) = request.key {
@@ -906,7 +909,7 @@
         if let_in {
             self.attempt(now, id, out);
         } else {
-            self.answer(now, id, out);
+            self.answer(now, id, reason, out);
         }
     }
 
@@ -925,7 +928,7 @@
             self.admission.bad += worth * self.admission.blocked;
             self.admission.seen += self.admission.blocked;
             self.refused.blocked += 1;
-            self.answer(now, id, out);
+            self.answer(now, id, Reason::Blocked, out);
             return;
         };
         let Some(open) = self.open.get(&id) else { return };
@@ -944,7 +947,7 @@
             }
         }
         if timeout < self.s.tick_ms {
-            self.answer(now, id, out);
+            self.answer(now, id, Reason::NoTime, out);
             return;
         }
         b.in_flight += 1;
@@ -960,7 +963,7 @@
     }
 
     /// The gate of every refusal: refused where that promise holds, failed where it does not.
-    fn answer(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
+    fn answer(&mut self, now: f64, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.finished && !o.is_pending()) else { return };
         let effect = self.s.classes.get(open.request.class).map_or(Effect::Unsafe, |c| c.effect);
         let none_ran = open.attempts.iter().all(|a| a.never_ran);
@@ -968,11 +971,11 @@
         let aim = (open.aim_at - open.arrived).max(1.0);
         self.open.remove(&id);
         if !harmless {
-            out.push(Action::Fail(id));
+            out.push(Action::Fail { id, reason });
             return;
         }
         let retry_after_ms = if self.s.retry_after { self.crat(now, aim) } else { 0.0 };
-        out.push(Action::Refuse { id, retry_after_ms });
+        out.push(Action::Refuse { id, retry_after_ms, reason });
     }
 
     /// CRAT: earliest PRAT - now + T + chance when every backend is congested, T + chance when caps
@@ -1078,7 +1081,7 @@
             self.admission.retry -= price;
             self.attempt(now, id, out);
         } else {
-            self.answer(now, id, out);
+            self.answer(now, id, if again { Reason::NoRetry } else { Reason::MayHaveRun }, out);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -343,6 +343,8 @@
     pub effort_ms: Option<f64>,
     /// The client says that it is another try.
     pub retry: bool,
+    /// How long it waited for the node to take it, out of the time that its client gives it.
+    pub waited_ms: f64,
 }
 
 /// What one process of a node tells the next of a backend.
@@ -437,6 +439,51 @@
     },
 }
 
+/// Why a request is refused or failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// Its answer would come too late to be of worth.
+    TooLate,
+    /// Admission keeps it out.
+    Shed,
+    /// As much is in flight as may be.
+    Crowded,
+    /// No backend may be sent to.
+    Blocked,
+    /// Too little time is left for an attempt.
+    NoTime,
+    /// An attempt may have run, and its class allows no other.
+    MayHaveRun,
+    /// Attempts failed, and the retry budget, the aim or the attempt's end allows no other.
+    NoRetry,
+}
+
+impl Reason {
+    /// All of them.
+    pub const ALL: [Reason; 7] = [
+        Reason::TooLate,
+        Reason::Shed,
+        Reason::Crowded,
+        Reason::Blocked,
+        Reason::NoTime,
+        Reason::MayHaveRun,
+        Reason::NoRetry,
+    ];
+
+    /// As logs and counters name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::TooLate => "too-late",
+            Reason::Shed => "shed",
+            Reason::Crowded => "crowded",
+            Reason::Blocked => "blocked",
+            Reason::NoTime => "no-time",
+            Reason::MayHaveRun => "may-have-run",
+            Reason::NoRetry => "no-retry",
+        }
+    }
+}
+
 /// What a node does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -465,9 +512,16 @@
         id: RequestId,
         /// Advice; 0 for none.
         retry_after_ms: f64,
+        /// Why.
+        reason: Reason,
     },
     /// Final answer: failed; no promise.
-    Fail(RequestId),
+    Fail {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        reason: Reason,
+    },
     /// Ask for [`Event::Timer`].
     Timer {
         /// Comes back.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,7 @@
 //! actions.clear();
 //! let id = RequestId(1);
 //! let request = Request {
-//!     id, class: 0, key: Some(5), deadline_ms: 910.0, effort_ms: None, retry: false,
+//!     id, class: 0, key: Some(5), deadline_ms: 910.0, effort_ms: None, retry: false, waited_ms: 0.0,
 //! };
 //! balancer.handle(10.0, Event::Request(request), &mut actions);
 //! assert!(matches!(actions[0], Action::Send { id: RequestId(1), backend: BackendId(42), .. }));
--- a/src/node/arrival.rs
+++ b/src/node/arrival.rs
@@ -2,15 +2,21 @@
 //!
 //! A connection may wait in the queue of the listening socket: while this process is short of descriptors, or from before
 //! it started, where the platform holds the socket. Its client counts from when it sent.
+//!
+//! The system notes the time by its wall clock. That may be stepped, and may not be the one that this process is shown, so
+//! the two are compared by a datagram of this process to itself, and no wait is held to be longer than the queue allows.
 
 use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt, sockopt};
-use std::io::IoSliceMut;
+use std::io::{self, IoSliceMut};
+use std::net::{Ipv4Addr, UdpSocket};
 use std::os::fd::{AsFd, AsRawFd};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 /// A shorter wait is that of any connection, and of this loop.
-const LEAST_WAIT: Duration = Duration::from_millis(5);
+const LEAST_WAIT: Duration = Duration::from_millis(20);
+/// How long the datagram is waited for, which goes through memory alone.
+const OWN_DATAGRAM: Duration = Duration::from_millis(5);
 
 /// Has the system note the times for all connections of a listening socket to come.
 pub fn note_times(listener: &impl AsFd) {
@@ -18,29 +24,41 @@
     let _ = setsockopt(listener, sockopt::ReceiveTimestampns, &true);
 }
 
-/// When the first byte that waits on a connection came; none where nothing waits, or it came just now.
-pub fn first_byte(stream: &TcpStream) -> Option<Instant> {
-    let waited = SystemTime::now().duration_since(first_byte_time(stream)?).ok()?;
+/// When the first byte that waits on a connection came; none where nothing waits, or it came just now. `at_most` is how
+/// long the connection may have waited, if that is known.
+pub fn first_byte(stream: &TcpStream, at_most: Option<Duration>) -> Option<Instant> {
+    if at_most.is_some_and(|most| most < LEAST_WAIT) {
+        return None;
+    }
+    let came = noted_time(stream, MsgFlags::MSG_PEEK)?;
+    let waited = system_now().ok().flatten()?.checked_sub(came)?;
+    let waited = at_most.map_or(waited, |most| waited.min(most));
     if waited < LEAST_WAIT { None } else { Instant::now().checked_sub(waited) }
 }
 
-/// The same by the wall clock, which the system notes it by.
-fn first_byte_time(stream: &TcpStream) -> Option<SystemTime> {
+/// The clock that the system notes times by, since 1970.
+fn system_now() -> io::Result<Option<Duration>> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    setsockopt(&socket, sockopt::ReceiveTimestampns, &true)?;
+    socket.set_read_timeout(Some(OWN_DATAGRAM))?;
+    socket.connect(socket.local_addr()?)?;
+    socket.send(&[0])?;
+    Ok(noted_time(&socket, MsgFlags::empty()))
+}
+
+/// When the first byte that waits on a socket came, by the clock of the system.
+fn noted_time(socket: &impl AsRawFd, flags: MsgFlags) -> Option<Duration> {
     let mut byte = [0];
     let mut parts = [IoSliceMut::new(&mut byte)];
     let mut control = nix::cmsg_space!(nix::sys::time::TimeSpec);
-    let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
     loop {
-        let received = match recvmsg::<()>(stream.as_raw_fd(), &mut parts, Some(&mut control), flags) {
+        let received = match recvmsg::<()>(socket.as_raw_fd(), &mut parts, Some(&mut control), flags) {
             Err(nix::errno::Errno::EINTR) => continue,
             Err(_) => return None,
             Ok(received) => received,
         };
         return received.cmsgs().ok()?.find_map(|message| match message {
-            ControlMessageOwned::ScmTimestampns(time) => {
-                let since_1970 = Duration::from(time);
-                SystemTime::UNIX_EPOCH.checked_add(since_1970)
-            }
+            ControlMessageOwned::ScmTimestampns(time) => Some(Duration::from(time)),
             _ => None,
         });
     }
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -9,11 +9,12 @@
 use crate::server::Server;
 use crate::socket::{Descriptors, Socket};
 use crate::system::{AcceptError, Acceptor};
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -43,6 +44,8 @@
     Drain,
     /// Back to work.
     Resume,
+    /// What has this process done so far?
+    Counters,
 }
 
 /// Why a line is no call.
@@ -61,7 +64,9 @@
     #[error("the line is empty")]
     Empty,
     /// Its first word is unknown.
-    #[error("unknown call {0:?}; there are ready, disable-server ID, enable-server ID, drain and resume")]
+    #[error(
+        "unknown call {0:?}; there are ready, disable-server ID, enable-server ID, drain, resume and counters"
+    )]
     Unknown(String),
     /// It wants an id.
     #[error("{0} wants the id of a server")]
@@ -104,6 +109,7 @@
             "enable-server" => (Call::Enable(id("enable-server")?), "enable-server ID"),
             "drain" => (Call::Drain, "drain"),
             "resume" => (Call::Resume, "resume"),
+            "counters" => (Call::Counters, "counters"),
             other => return Err(NoCall::Unknown(other.chars().take(40).collect())),
         };
         if words.next().is_some() { Err(NoCall::Extra(of)) } else { Ok(call) }
@@ -155,7 +161,7 @@
 
     /// Takes callers for as long as the node lives.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let acceptor = Acceptor::new(listener);
+        let acceptor = Acceptor::new(listener, Some(Instant::now()));
         loop {
             match acceptor.accept().await {
                 Ok(stream) => self.receive(stream),
@@ -219,10 +225,11 @@
         let _ = tokio::time::timeout(LINGER, telling).await;
     }
 
-    async fn carry_out(&self, call: Call<'_>) -> Result<&'static str, Refusal> {
+    async fn carry_out(&self, call: Call<'_>) -> Result<Cow<'static, str>, Refusal> {
         let answer = match call {
-            Call::Ready if self.server.ready() => return Ok("takes clients"),
+            Call::Ready if self.server.ready().is_ok() => return Ok("takes clients".into()),
             Call::Ready => return Err(Refusal::State("takes no clients")),
+            Call::Counters => return Ok(self.driver.counters.text().into()),
             Call::Disable(id) => match self.set_disabled(id, true).await {
                 Ok(true) => Ok("out of service"),
                 Ok(false) => Ok("out of service already"),
@@ -236,6 +243,7 @@
             Call::Drain => self.server.drain().map_err(Refusal::State),
             Call::Resume => self.server.resume().map_err(Refusal::State),
         };
+        let answer = answer.map(Cow::Borrowed);
         match &answer {
             Ok(text) => log::line(&format!("console: {call:?}: {text}")),
             Err(refusal) => log::line(&format!("console: {call:?}: {refusal}")),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -4,12 +4,15 @@
 //! open. It decides nothing itself.
 
 use crate::clock::Clock;
+use crate::counters::{Counters, Kind, Violation};
+use crate::guard::{Attempted, Facts, Guard, Place};
 use crate::log;
 use crate::peers::Peers;
+use crate::trace::{Ending, Trace, Withheld};
 use crate::upstream::{Attempt, Call, Conn, End, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
-    Action, BackendId, Entry, Event, Health, ListKind, Memory, Outcome, Request, RequestId,
+    Action, BackendId, Entry, Event, Health, ListKind, Memory, Outcome, Reason, Request, RequestId,
 };
 use birchspoke::wire::stable_hash;
 use std::cell::{Cell, RefCell};
@@ -21,6 +24,23 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
+/// The header with the id of a request.
+const TRACE_ID: &str = "x-trace-id";
+
+/// As counters name it.
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed-out",
+        Outcome::NotConnected => "not-connected",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Skipped => "skipped",
+    }
+}
+
 /// A request's final answer.
 pub enum Answer {
     /// A backend's.
@@ -52,6 +72,8 @@
     answer: oneshot::Receiver<Answer>,
     begun: Instant,
     expires: Instant,
+    /// Its time was over before it was answered.
+    expired: bool,
 }
 
 impl Ticket {
@@ -65,14 +87,18 @@
         tokio::select! {
             biased;
             answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
-            () = expired => Answer::Failed,
+            () = expired => {
+                self.expired = true;
+                Answer::Failed
+            }
         }
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.driver.take(Input::Left(self.id));
+        let ending = if self.expired { Ending::Expired } else { Ending::Left };
+        self.driver.take(Input::Left(self.id, ending));
     }
 }
 
@@ -95,8 +121,8 @@
     List(ListKind, Vec<Target>),
     /// A client's request.
     Arrived(Request, Rc<Call>, Responder),
-    /// The client is gone, or needs nothing any more.
-    Left(RequestId),
+    /// The client is gone, or needs nothing any more, for this reason if it has no answer yet.
+    Left(RequestId, Ending),
     /// The last byte of a request's body has come and gone on.
     Whole(RequestId),
     /// A long answer has begun.
@@ -144,23 +170,53 @@
     call: Rc<Call>,
     /// What calls each attempt off; none where it is over.
     attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// The same attempts, as far as the rules on sending go by them.
+    attempted: Vec<Attempted>,
+    class: usize,
+    arrived_ms: f64,
+    deadline_ms: f64,
+    trace: Trace,
 }
 
 impl Open {
     fn over(&self) -> bool {
         self.responder.is_none() && self.attempts.iter().all(Option::is_none)
     }
+
+    fn facts(&self) -> Facts<'_> {
+        Facts {
+            class: self.class,
+            waits: self.responder.is_some(),
+            deadline_ms: self.deadline_ms,
+            attempts: &self.attempted,
+        }
+    }
+
+    /// The last byte of its body has come: its times count from here.
+    fn shift(&mut self, now_ms: f64) {
+        let late = now_ms - self.arrived_ms;
+        self.arrived_ms = now_ms;
+        self.deadline_ms += late;
+        self.attempted.iter_mut().for_each(|attempt| attempt.sent_ms += late);
+    }
 }
 
 struct Endpoint {
     address: SocketAddr,
     up: bool,
+    zone: u16,
+    cell: u32,
     /// When it last started: as the list states it, by which a further start is told, and on the decisions' clock.
     boot_ms: f64,
     ready_at_ms: f64,
 }
 
 impl Endpoint {
+    fn new(address: SocketAddr, boot_ms: f64, entry: &Entry) -> Endpoint {
+        let Entry { zone, cell, health, ready_at_ms, .. } = *entry;
+        Endpoint { address, up: health == Health::Up, zone, cell, boot_ms, ready_at_ms }
+    }
+
     /// When it started anew, by what the list now states. That is after its last start: where the clocks say otherwise
     /// they cannot be relied on, and it is as cold as can be.
     fn restarted_at(&self, boot_ms: f64, clock: &Clock) -> f64 {
@@ -171,6 +227,8 @@
 
 struct Core {
     balancer: Balancer,
+    guard: Guard,
+    counters: Rc<Counters>,
     open: HashMap<RequestId, Open>,
     endpoints: HashMap<BackendId, Endpoint>,
     /// All that the list names: up or draining.
@@ -183,6 +241,8 @@
     inbox: RefCell<VecDeque<Input>>,
     /// The clock of all events.
     pub clock: Clock,
+    /// What was done, by reason.
+    pub counters: Rc<Counters>,
     upstream: Rc<Upstream>,
     peers: Option<Rc<Peers>>,
     watch: mpsc::UnboundedSender<bool>,
@@ -195,19 +255,24 @@
     /// A driver that has heard nothing yet; the decisions' wish to watch the list goes out on `watch`.
     pub fn new(
         balancer: Balancer,
+        guard: Guard,
         upstream: Rc<Upstream>,
         peers: Option<Rc<Peers>>,
         watch: mpsc::UnboundedSender<bool>,
     ) -> Rc<Driver> {
+        let counters = Rc::new(Counters::default());
         Rc::new(Driver {
             core: RefCell::new(Core {
                 balancer,
+                guard,
+                counters: counters.clone(),
                 open: HashMap::new(),
                 endpoints: HashMap::new(),
                 listed: HashSet::new(),
             }),
             inbox: RefCell::default(),
             clock: Clock::new(),
+            counters,
             upstream,
             peers,
             watch,
@@ -232,7 +297,7 @@
         let (responder, answer) = oneshot::channel();
         let (call, begun) = (Rc::new(call), Instant::now());
         self.take(Input::Arrived(request, call.clone(), Responder(responder)));
-        Ticket { driver: self.clone(), id, call, answer, begun, expires }
+        Ticket { driver: self.clone(), id, call, answer, begun, expires, expired: false }
     }
 
     /// Requests that are not over.
@@ -242,9 +307,19 @@
 
     /// Fails all that is pending, for a node that has no more time.
     pub fn end_all(self: &Rc<Self>) {
-        let ids: Vec<RequestId> = self.core.borrow().open.keys().copied().collect();
+        let waits = |open: &Open| open.responder.is_some();
+        let core = self.core.borrow();
+        let ids: Vec<RequestId> = core.open.iter().filter(|(_, o)| waits(o)).map(|(id, _)| *id).collect();
+        drop(core);
         for id in ids {
-            self.take(Input::Left(id));
+            self.take(Input::Left(id, Ending::Stopped));
+        }
+    }
+
+    /// Counts requests that the end of the process leaves without an answer.
+    pub fn check_end(&self) {
+        for open in self.core.borrow().open.values().filter(|open| open.responder.is_some()) {
+            self.counters.violation(Violation::EndUnanswered, open.trace.id());
         }
     }
 
@@ -293,25 +368,27 @@
             let next = self.inbox.borrow_mut().pop_front();
             let Some(input) = next else { return };
             let Some(event) = core.event(input, &self.upstream, &self.clock) else { continue };
-            core.balancer.handle(self.clock.now_ms(), event, &mut actions);
+            let now_ms = self.clock.now_ms();
+            core.balancer.handle(now_ms, event, &mut actions);
             for action in actions.drain(..) {
-                self.carry_out(&mut core, action);
+                self.carry_out(&mut core, now_ms, action);
             }
         }
     }
 
-    fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
+    fn carry_out(self: &Rc<Self>, core: &mut Core, now_ms: f64, action: Action) {
         match action {
             Action::Send { id, backend, timeout_ms, begin_within_ms } => {
-                self.send(core, id, backend, timeout_ms, begin_within_ms);
+                let decided = Decided { id, backend, timeout_ms, begin_within_ms };
+                self.send(core, now_ms, decided);
             }
             Action::Cancel { id, attempt } => {
                 let off = core.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt as usize));
                 // Dropping the handle is the call: the attempt closes its connection and reports.
                 drop(off.and_then(|a| a.as_mut()).map(|a| std::mem::replace(a, oneshot::channel().0)));
             }
-            Action::Refuse { id, retry_after_ms } => core.respond(id, Answer::Refused { retry_after_ms }),
-            Action::Fail(id) => core.respond(id, Answer::Failed),
+            Action::Refuse { id, retry_after_ms, reason } => core.refuse(id, retry_after_ms, reason),
+            Action::Fail { id, reason } => core.respond(id, Answer::Failed, Ending::Failed(reason)),
             Action::Timer { token, at_ms } => {
                 let driver = self.clone();
                 let due = self.clock.instant(at_ms);
@@ -332,14 +409,10 @@
         }
     }
 
-    fn send(
-        self: &Rc<Self>,
-        core: &mut Core,
-        id: RequestId,
-        backend: BackendId,
-        timeout_ms: f64,
-        begin_within_ms: f64,
-    ) {
+    /// The one place in which an attempt begins.
+    fn send(self: &Rc<Self>, core: &mut Core, now_ms: f64, decided: Decided) {
+        let Decided { id, backend, timeout_ms, begin_within_ms } = decided;
+        let place = core.place(backend);
         let Some(open) = core.open.get_mut(&id) else { return };
         let number = u32::try_from(open.attempts.len()).unwrap_or(u32::MAX);
         let (off, mut called_off) = oneshot::channel::<()>();
@@ -351,13 +424,26 @@
             begun: Instant::now(),
             finish: Some(Outcome::Reset.into()),
         };
+        let allowed = core.guard.may_send(now_ms, &open.facts(), &place);
         open.attempts.push(Some(off));
-        let endpoint = core.endpoints.get(&backend);
-        let (Some(_), Some(endpoint), true) = (&open.responder, endpoint, open.call.sendable()) else {
-            let outcome = if endpoint.is_some() { Outcome::Skipped } else { Outcome::NotConnected };
-            report.finish = Some(outcome.into());
-            return;
-        };
+        open.attempted.push(Attempted {
+            zone: place.zone,
+            cell: place.cell,
+            sent_ms: now_ms,
+            outcome: None,
+        });
+        open.trace.sent(number, backend);
+        // What does not begin is reported as not sent.
+        report.finish = Some(Outcome::Skipped.into());
+        if let Err(violation) = allowed {
+            return core.counters.violation(violation, open.trace.id());
+        }
+        if !open.call.sendable() {
+            open.trace.withheld(Withheld::BodySpent);
+            return core.counters.count(Kind::Withheld, Withheld::BodySpent.name());
+        }
+        let Some(endpoint) = core.endpoints.get(&backend) else { return };
+        report.finish = Some(Outcome::Reset.into());
         let begun = report.begun;
         let after = |ms: f64| begun + Duration::from_secs_f64(ms.clamp(0.0, 1e9) / 1000.0);
         let (until, begin_by) = (after(timeout_ms), after(begin_within_ms));
@@ -365,7 +451,7 @@
         let attempt = Attempt { backend, address, call, until, begin_by, begun };
         let driver = self.clone();
         spawn_local(async move {
-            let wanted = || driver.routable(id, attempt.backend);
+            let wanted = || driver.still_wanted(id, &attempt);
             let mut sent = pin!(driver.upstream.attempt(&attempt, wanted));
             let whole = async {
                 if let Some(at) = attempt.call.whole().await {
@@ -414,12 +500,33 @@
         }
     }
 
-    fn routable(&self, id: RequestId, backend: BackendId) -> bool {
-        let core = self.core.borrow();
-        core.routable(backend) && core.open.get(&id).is_some_and(|o| o.responder.is_some())
+    /// Looks once more as the first byte of an attempt is about to go out: its connection took time.
+    fn still_wanted(&self, id: RequestId, attempt: &Attempt) -> Result<(), Withheld> {
+        let mut core = self.core.borrow_mut();
+        let in_service = core.routable(attempt.backend);
+        let Some(open) = core.open.get_mut(&id) else { return Err(Withheld::RequestOver) };
+        let wanted = match &open.responder {
+            None => Err(Withheld::RequestOver),
+            Some(_) if !in_service => Err(Withheld::ServerWithdrawn),
+            Some(_) if Instant::now() >= attempt.begin_by => Err(Withheld::RepeatTooLate),
+            Some(_) => Ok(()),
+        };
+        if let Err(why) = wanted {
+            open.trace.withheld(why);
+            core.counters.count(Kind::Withheld, why.name());
+        }
+        wanted
     }
 }
 
+/// An attempt as the decisions want it.
+struct Decided {
+    id: RequestId,
+    backend: BackendId,
+    timeout_ms: f64,
+    begin_within_ms: f64,
+}
+
 /// Reports the end of an attempt once, by being dropped: also when its task ends in a way nobody foresaw,
 /// which may have run.
 struct Report {
@@ -446,6 +553,12 @@
         self.endpoints.get(&backend).is_some_and(|p| p.up) && self.balancer.in_service(backend)
     }
 
+    /// Where an attempt at a backend would go.
+    fn place(&self, backend: BackendId) -> Place {
+        let (zone, cell) = self.endpoints.get(&backend).map_or((0, 0), |e| (e.zone, e.cell));
+        Place { in_service: self.routable(backend), zone, cell }
+    }
+
     /// Notes what happened and says it in the decisions' words; none where they need not hear of it.
     fn event(&mut self, input: Input, upstream: &Upstream, clock: &Clock) -> Option<Event> {
         Some(match input {
@@ -455,33 +568,50 @@
                 Event::List { kind, entries }
             }
             Input::Arrived(request, call, responder) => {
-                self.open
-                    .insert(request.id, Open { responder: Some(responder), call, attempts: Vec::new() });
+                let trace = Trace::new(call.headers.get(TRACE_ID).cloned());
+                let open = Open {
+                    responder: Some(responder),
+                    call,
+                    attempts: Vec::new(),
+                    attempted: Vec::new(),
+                    class: request.class,
+                    arrived_ms: clock.now_ms(),
+                    deadline_ms: request.deadline_ms,
+                    trace,
+                };
+                self.open.insert(request.id, open);
                 Event::Request(request)
             }
-            Input::Left(id) => {
+            Input::Left(id, ending) => {
                 // After the answer this changes nothing.
                 self.open.get(&id)?.responder.as_ref()?;
-                self.respond(id, Answer::Failed);
+                self.respond(id, Answer::Failed, ending);
                 Event::Left(id)
             }
-            Input::Whole(id) => Event::Whole(id),
+            Input::Whole(id) => {
+                self.open.get_mut(&id)?.shift(clock.now_ms());
+                Event::Whole(id)
+            }
             Input::Begun { id, attempt, backend, finish, elapsed_ms } => {
                 let reply = finish.reply?;
-                self.open.get_mut(&id)?.responder.take()?.respond(Answer::Served(reply));
+                self.open.get(&id)?.responder.as_ref()?;
+                self.respond(id, Answer::Served(reply), Ending::Served);
                 Event::Started { id, attempt, backend, elapsed_ms }
             }
             Input::Ended { id, attempt, backend, finish, elapsed_ms } => {
                 let open = self.open.get_mut(&id)?;
                 open.attempts.get_mut(attempt as usize)?.take()?;
-                if let Some(reply) = finish.reply
-                    && let Some(responder) = open.responder.take()
-                {
-                    responder.respond(Answer::Served(reply));
+                let (outcome, load) = (finish.outcome, finish.load);
+                open.trace.ended(attempt, outcome);
+                if let Some(attempted) = open.attempted.get_mut(attempt as usize) {
+                    attempted.outcome = Some(outcome);
                 }
-                let (last, outcome, load) = (open.responder.is_none(), finish.outcome, finish.load);
-                if open.over() {
-                    self.open.remove(&id);
+                self.counters.count(Kind::Attempt, outcome_name(outcome));
+                let answered = finish.reply.filter(|_| open.responder.is_some());
+                let last = open.responder.is_none() || answered.is_some();
+                match answered {
+                    Some(reply) => self.respond(id, Answer::Served(reply), Ending::Served),
+                    None => self.close_if_over(id),
                 }
                 Event::Ended { id, attempt, backend, outcome, last, elapsed_ms, load }
             }
@@ -494,13 +624,41 @@
         })
     }
 
-    fn respond(&mut self, id: RequestId, answer: Answer) {
+    /// The one place in which a request gets its final answer.
+    fn respond(&mut self, id: RequestId, answer: Answer, ending: Ending) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(responder) = open.responder.take() {
             responder.respond(answer);
+            open.trace.answered(ending);
+            self.counters.count(Kind::Answer, ending.name());
+            if let Ending::Refused(reason) | Ending::Failed(reason) = ending {
+                self.counters.count(Kind::Refusal, reason.name());
+            }
+        }
+        self.close_if_over(id);
+    }
+
+    /// The one place that refuses: a refusal that may do harm becomes a failure.
+    fn refuse(&mut self, id: RequestId, retry_after_ms: f64, reason: Reason) {
+        let Some(open) = self.open.get(&id) else { return };
+        match self.guard.may_refuse(&open.facts()) {
+            Ok(()) => self.respond(id, Answer::Refused { retry_after_ms }, Ending::Refused(reason)),
+            Err(violation) => {
+                self.counters.violation(violation, open.trace.id());
+                self.respond(id, Answer::Failed, Ending::Failed(reason));
+            }
+        }
+    }
+
+    /// Lets go of a request that is answered and has nothing out, and says what it met.
+    fn close_if_over(&mut self, id: RequestId) {
+        if !self.open.get(&id).is_some_and(Open::over) {
+            return;
         }
-        if open.over() {
-            self.open.remove(&id);
+        if let Some(open) = self.open.remove(&id)
+            && (log::all_requests() || !open.trace.went_well())
+        {
+            log::request(|| open.trace.to_string());
         }
     }
 
@@ -530,7 +688,6 @@
                 None => 0.0,
             };
             entries.push(entry);
-            let up = entry.health == Health::Up;
             if entry.health == Health::Gone {
                 self.listed.remove(&entry.backend);
             } else {
@@ -543,10 +700,10 @@
                         // What was connected to the old process or endpoint is of no use.
                         upstream.release(entry.backend);
                     }
-                    *endpoint = Endpoint { address, up, boot_ms, ready_at_ms: entry.ready_at_ms };
+                    *endpoint = Endpoint::new(address, boot_ms, &entry);
                 }
                 (None, Some(address)) => {
-                    let endpoint = Endpoint { address, up, boot_ms, ready_at_ms: entry.ready_at_ms };
+                    let endpoint = Endpoint::new(address, boot_ms, &entry);
                     self.endpoints.insert(entry.backend, endpoint);
                 }
                 (None, None) => {}
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -4,8 +4,10 @@
 mod clock;
 mod config;
 mod console;
+mod counters;
 mod discovery;
 mod driver;
+mod guard;
 mod handover;
 mod inherited;
 mod log;
@@ -17,18 +19,21 @@
 mod socket;
 mod state_file;
 mod system;
+mod trace;
 mod upstream;
 
 use crate::config::Config;
 use crate::console::Console;
 use crate::discovery::{Listing, Watch};
 use crate::driver::{Driver, Input};
+use crate::guard::Guard;
 use crate::handover::Handover;
 use crate::peers::Peers;
 use crate::request::Reader;
 use crate::server::Server;
 use crate::signals::Signals;
 use crate::socket::Descriptors;
+use crate::system::Acceptor;
 use crate::upstream::Upstream;
 use birchspoke::Balancer;
 use birchspoke::interface::ListKind;
@@ -90,6 +95,8 @@
     let version = Rc::new(Cell::new(None));
     let handover = inherited.is_some().then(|| Handover::new(version.clone()));
     let shared = handover.is_some();
+    // What waits in the queue of an inherited socket may be from before this process.
+    let listens_since = inherited.is_none().then(Instant::now);
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener),
         None => listen(&config),
@@ -120,9 +127,10 @@
         None => None,
     };
     let rng = fastrand::Rng::with_seed(!config.seed);
+    let guard = Guard::new(&settings);
     let balancer = Balancer::new(config.settings, config.seed)?;
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver = Driver::new(balancer, upstream.clone(), peers.clone(), wish);
+    let driver = Driver::new(balancer, guard, upstream.clone(), peers.clone(), wish);
     let names = Rc::new(config.names);
     driver.take(Input::Start);
     let known = discovery::listing(&config.known, &names);
@@ -175,7 +183,8 @@
     log::line(&format!("{} serves on {at}{calls}", config.name));
     let accepting = {
         let server = server.clone();
-        spawn_local(async move { server.accept(listener).await })
+        let acceptor = Acceptor::new(listener, listens_since);
+        spawn_local(async move { server.accept(acceptor).await })
     };
     terminate.recv().await;
     let succeeded = handover.is_some_and(|h| h.succeeded());
@@ -189,6 +198,8 @@
     // Better failed than lost: what is still open would be cut by the end of the process.
     driver.end_all();
     server.wind_down(Instant::now() + LAST_WRITES).await;
+    driver.check_end();
+    log::urgent(&format!("counters: {}", driver.counters.text()));
     Ok(())
 }
 
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -214,6 +214,7 @@
             deadline_ms: 0.0,
             effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
             retry: header("x-second-try") == Some("1"),
+            waited_ms: arrived.elapsed().as_secs_f64() * 1000.0,
         };
         let target =
             head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -2,6 +2,7 @@
 
 use crate::BACKLOG;
 use crate::arrival;
+use crate::counters::{Kind, Violation};
 use crate::driver::{Answer, Driver};
 use crate::log;
 use crate::request::{Arrival, LocalReply, Reader, Reading, closing, full, plain};
@@ -21,7 +22,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -33,6 +34,8 @@
 /// A client that takes nothing of a long answer for so long is cut. What the system holds for it hides a slow one
 /// for a few seconds.
 const TAKING_LIMIT: Duration = Duration::from_secs(10);
+/// The header with the id of a request.
+const TRACE_ID: &str = "x-trace-id";
 const BOTH_FRAMINGS: &str = "both a length and chunks\n";
 /// How often what was turned away may be told.
 const REJECTED_EVERY: Duration = Duration::from_secs(10);
@@ -67,6 +70,65 @@
 #[error("the client has left")]
 struct Left;
 
+/// Why a client's connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// The client ended it, or what it sent cannot be read and was answered so.
+    Client,
+    /// The last answer said so, or hyper ended it behind one.
+    Answered,
+    /// An answer broke off, and its end must not look like a whole one.
+    Broken,
+    /// Nothing came on it for long.
+    Idle,
+    /// A head never became whole.
+    HalfHead,
+    /// The client takes nothing of a long answer.
+    Stalled,
+    /// Its place is needed, or the node winds down.
+    Wanted,
+}
+
+impl CloseReason {
+    fn name(self) -> &'static str {
+        match self {
+            CloseReason::Client => "client",
+            CloseReason::Answered => "answered",
+            CloseReason::Broken => "broken",
+            CloseReason::Idle => "idle",
+            CloseReason::HalfHead => "half-head",
+            CloseReason::Stalled => "stalled",
+            CloseReason::Wanted => "wanted",
+        }
+    }
+
+    /// The node ends it of its own accord: then nothing on it may wait for an answer.
+    fn is_own(self) -> bool {
+        matches!(self, CloseReason::Idle | CloseReason::HalfHead | CloseReason::Wanted)
+    }
+}
+
+/// Why the node takes no clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotReady {
+    /// It has been told to stop.
+    Stopping,
+    /// Operators want no clients here.
+    Drained,
+    /// There is no server, or only a list that may be out of date.
+    NoServers,
+}
+
+impl NotReady {
+    fn name(self) -> &'static str {
+        match self {
+            NotReady::Stopping => "stopping",
+            NotReady::Drained => "drained",
+            NotReady::NoServers => "no-servers",
+        }
+    }
+}
+
 /// One client connection.
 struct Client {
     socket: Socket,
@@ -89,6 +151,8 @@
     taking: Cell<bool>,
     /// How much of that has been written, and since when no more.
     written: Cell<(u64, Instant)>,
+    /// The id of its last request, to name it by where it is not answered.
+    last_id: RefCell<Option<HeaderValue>>,
     close: Notify,
 }
 
@@ -224,6 +288,8 @@
     rejected: RefCell<BTreeMap<&'static str, u32>>,
     rejected_logged: Cell<Option<Instant>>,
     next: Cell<u64>,
+    /// What was said last on whether this process takes clients.
+    told_ready: Cell<Option<Result<(), NotReady>>>,
     stopping: Cell<Option<Instant>>,
     succeeded: Cell<bool>,
     /// Since when operators want no clients here.
@@ -251,6 +317,7 @@
             rejected: RefCell::default(),
             rejected_logged: Cell::new(None),
             next: Cell::new(0),
+            told_ready: Cell::new(None),
             stopping: Cell::new(None),
             succeeded: Cell::new(false),
             drained: Cell::new(None),
@@ -293,8 +360,7 @@
     }
 
     /// Takes connections until told to stop, and then for as long as they still come.
-    pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
-        let acceptor = Acceptor::new(listener);
+    pub async fn accept(self: &Rc<Self>, acceptor: Acceptor) {
         let mut last = Instant::now();
         let mut last_looks = BACKLOG;
         loop {
@@ -326,7 +392,8 @@
                     last = Instant::now();
                     // Under pressure this waits for a place: others wait in the backlog and are taken then.
                     let slot = self.descriptors.take_for_client().await;
-                    self.serve(stream, slot);
+                    let waited_since = arrival::first_byte(&stream, acceptor.waited_at_most());
+                    self.serve(stream, slot, waited_since);
                 }
                 Err(error) => {
                     // This may neither end the node nor keep it or its log busy. Only where this process has no
@@ -360,8 +427,19 @@
     }
 
     /// Takes clients: some backend could serve them, and nobody wants them elsewhere.
-    pub fn ready(&self) -> bool {
-        self.driver.ready() && !self.leaving()
+    pub fn ready(&self) -> Result<(), NotReady> {
+        let ready = match (self.stopping.get(), self.drained.get()) {
+            (Some(_), _) => Err(NotReady::Stopping),
+            (None, Some(_)) => Err(NotReady::Drained),
+            (None, None) if !self.driver.ready() => Err(NotReady::NoServers),
+            (None, None) => Ok(()),
+        };
+        if self.told_ready.replace(Some(ready)) != Some(ready) {
+            let name = ready.err().map_or("ready", NotReady::name);
+            self.driver.counters.count(Kind::Readiness, name);
+            log::line(&format!("readiness: {name}"));
+        }
+        ready
     }
 
     fn leaving(&self) -> bool {
@@ -398,8 +476,7 @@
         }
     }
 
-    fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
-        let waited_since = arrival::first_byte(&stream);
+    fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot, waited_since: Option<Instant>) {
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
             socket: socket.clone(),
@@ -413,6 +490,7 @@
             lengths: Cell::new(0),
             taking: Cell::new(false),
             written: Cell::new((0, Instant::now())),
+            last_id: RefCell::default(),
             close: Notify::new(),
         });
         let number = self.next.get();
@@ -420,12 +498,37 @@
         client.socket.mark();
         self.clients.borrow_mut().insert(number, client.clone());
         let listed = Listed { server: self.clone(), number };
-        spawn_local(async move { listed.server.converse(&client, socket).await });
+        spawn_local(async move {
+            let reason = listed.server.converse(&client, socket).await;
+            listed.server.closes(&client, reason).await;
+        });
+    }
+
+    /// The one place in which a connection ends.
+    async fn closes(&self, client: &Client, reason: CloseReason) {
+        self.driver.counters.count(Kind::Close, reason.name());
+        if reason.is_own() && client.busy.get() > 0 {
+            let id = client.last_id.borrow();
+            let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("?");
+            self.driver.counters.violation(Violation::CloseUnanswered, &format!("{id} {}", reason.name()));
+        }
+        match reason {
+            CloseReason::Broken => client.socket.reset(),
+            CloseReason::Client | CloseReason::Answered => {
+                client.over.set(true);
+                tokio::select! {
+                    _ = tokio::time::timeout(LINGER, client.socket.discard(LINGER_READ)) => {}
+                    () = client.close.notified() => {}
+                }
+            }
+            CloseReason::Idle | CloseReason::HalfHead | CloseReason::Stalled | CloseReason::Wanted => {}
+        }
     }
 
-    async fn converse(self: &Rc<Self>, client: &Rc<Client>, socket: Socket) {
+    async fn converse(self: &Rc<Self>, client: &Rc<Client>, socket: Socket) -> CloseReason {
         let service = service_fn(|request| {
             let hides = client.hides_length(&request);
+            client.last_id.replace(request.headers().get(TRACE_ID).cloned());
             let busy = Busy::new(client.clone());
             async move {
                 let mut response = if hides {
@@ -451,9 +554,11 @@
             tokio::select! {
                 // Errors are the client's, not speaking the protocol and told so, or of a client that has left or a
                 // body that broke off: then the end of the connection must not look like the body's.
-                end = connection.as_mut() => match end {
-                    Err(e) if e.is_user() => return client.socket.reset(),
-                    _ => break,
+                end = connection.as_mut() => return match end {
+                    Err(e) if e.is_user() => CloseReason::Broken,
+                    _ if idle => CloseReason::Wanted,
+                    Ok(()) => CloseReason::Answered,
+                    Err(_) => CloseReason::Client,
                 },
                 () = client.close.notified() => {
                     // Looked at again: a request may have come since.
@@ -463,7 +568,7 @@
                             connection.as_mut().graceful_shutdown();
                             idle = true;
                         }
-                        Some(_) => return,
+                        Some(_) => return CloseReason::Wanted,
                         None => {}
                     }
                 }
@@ -476,25 +581,18 @@
                     if outstayed && !waits {
                         if client.socket.begun().is_some() {
                             self.reject("half a head");
+                            return CloseReason::HalfHead;
                         }
-                        return;
+                        return CloseReason::Idle;
                     }
                     if client.stuck_taking() {
                         self.reject("took nothing more");
-                        return;
+                        return CloseReason::Stalled;
                     }
                     look_at = client.due().max(Instant::now() + LOOK_AGAIN);
                 }
             }
         }
-        if idle {
-            return;
-        }
-        client.over.set(true);
-        tokio::select! {
-            _ = tokio::time::timeout(LINGER, client.socket.discard(LINGER_READ)) => {}
-            () = client.close.notified() => {}
-        }
     }
 
     async fn respond(&self, request: Request<Incoming>, client: &Client) -> Result<LocalReply, Left> {
@@ -512,7 +610,7 @@
         } else if path != "/up" {
             closing(StatusCode::NOT_FOUND, "no such path\n")
         } else if matches!(head.method, Method::GET | Method::HEAD) {
-            plain(if self.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+            plain(if self.ready().is_ok() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
             closing(StatusCode::METHOD_NOT_ALLOWED, "")
         };
--- a/src/node/system.rs
+++ b/src/node/system.rs
@@ -1,7 +1,10 @@
 //! What an error of a system call means: whether it concerns this machine or the other side.
 
+use std::cell::Cell;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -103,7 +106,13 @@
 /// Accepts connections, and tells what it means where that fails.
 pub struct Acceptor {
     listener: TcpListener,
-    failed_in_a_row: std::cell::Cell<u32>,
+    failed_in_a_row: Cell<u32>,
+    /// Some connection has been accepted.
+    accepted: Cell<bool>,
+    /// The queue has been empty since the last connection was accepted.
+    emptied: Cell<bool>,
+    /// Since when it has not been empty; none where that is from before this process.
+    filled: Cell<Option<Instant>>,
 }
 
 /// Why no connection was accepted.
@@ -141,16 +150,44 @@
 }
 
 impl Acceptor {
-    /// For a socket that listens.
-    pub fn new(listener: TcpListener) -> Acceptor {
-        Acceptor { listener, failed_in_a_row: std::cell::Cell::new(0) }
+    /// For a socket that listens, since when this process began to or, where it inherits one, none.
+    pub fn new(listener: TcpListener, since: Option<Instant>) -> Acceptor {
+        Acceptor {
+            listener,
+            failed_in_a_row: Cell::new(0),
+            accepted: Cell::new(false),
+            emptied: Cell::new(false),
+            filled: Cell::new(since),
+        }
+    }
+
+    /// How long the connection that was accepted last may have waited in the queue; none where nobody can tell.
+    pub fn waited_at_most(&self) -> Option<Duration> {
+        self.filled.get().map(|since| since.elapsed())
+    }
+
+    /// The next connection, and a note on whether it had to be waited for: then the queue was empty.
+    async fn accept_noting(&self) -> io::Result<TcpStream> {
+        poll_fn(|cx| {
+            let accepted = self.listener.poll_accept(cx);
+            match &accepted {
+                // Before the first connection the poller has only not looked yet.
+                Poll::Pending => self.emptied.set(self.accepted.get()),
+                Poll::Ready(_) if self.emptied.take() => self.filled.set(Some(Instant::now())),
+                Poll::Ready(_) => {}
+            }
+            accepted
+        })
+        .await
+        .map(|(stream, _)| stream)
     }
 
     /// The next connection. Cancelling it loses none.
     pub async fn accept(&self) -> Result<TcpStream, AcceptError> {
         loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => {
+            match self.accept_noting().await {
+                Ok(stream) => {
+                    self.accepted.set(true);
                     self.failed_in_a_row.set(0);
                     return Ok(stream);
                 }
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::socket::{Descriptors, Slot, Socket};
 use crate::system::{self, ConnectError};
+use crate::trace::Withheld;
 use birchspoke::interface::{BackendId, Load, Outcome};
 use birchspoke::wire;
 use bytes::{Bytes, BytesMut};
@@ -783,7 +784,7 @@
 
     /// Sends one attempt and waits for its end, or for a long answer's beginning. `wanted` says whether request and
     /// backend still stand.
-    pub async fn attempt(&self, attempt: &Attempt, wanted: impl Fn() -> bool) -> End {
+    pub async fn attempt(&self, attempt: &Attempt, wanted: impl Fn() -> Result<(), Withheld>) -> End {
         let over = |outcome: Outcome| End::Over(outcome.into(), None);
         let (mut conn, age) = match self.connection(attempt).await {
             Ok(found) => found,
@@ -791,11 +792,11 @@
         };
         // The handshake took time: a drain told meanwhile holds for this send too, and so does the end of the time in
         // which a repeat has no second effect.
-        if !wanted() {
-            return over(Outcome::NotConnected);
-        }
-        if Instant::now() >= attempt.begin_by {
-            return over(Outcome::Skipped);
+        match wanted() {
+            Ok(()) => {}
+            // The request may go elsewhere.
+            Err(Withheld::ServerWithdrawn) => return over(Outcome::NotConnected),
+            Err(_) => return over(Outcome::Skipped),
         }
         let (written, read) = (conn.socket.written(), conn.socket.read());
         let left = attempt.until.saturating_duration_since(Instant::now());
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -164,6 +164,7 @@
                 key: line.get("nameKey").map(stable_hash),
                 deadline_ms: line.time("deadlineMs")?,
                 effort_ms: line.opt_time("effortMs")?,
+                waited_ms: 0.0,
                 retry: line.flag("isRetry"),
             }),
             "result" => Event::Ended {
@@ -211,10 +212,10 @@
             Action::Cancel { id, attempt } => {
                 writeln!(out, "recall who={who} requestId={} attempt={attempt}", id.0)
             }
-            Action::Refuse { id, retry_after_ms } => {
+            Action::Refuse { id, retry_after_ms, .. } => {
                 writeln!(out, "decline who={who} requestId={} backoffMs={retry_after_ms:.3}", id.0)
             }
-            Action::Fail(id) => writeln!(out, "drop_request who={who} requestId={}", id.0),
+            Action::Fail { id, .. } => writeln!(out, "drop_request who={who} requestId={}", id.0),
             Action::Timer { token, at_ms } => {
                 writeln!(out, "wake_me who={who} keyBack={token} instantMs={at_ms:.3}")
             }
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -116,14 +116,15 @@
     trip(&mut w);
     let id = w.ask(0, Some(1));
     let wait = w.trace.iter().rev().find_map(|a| match a {
-        Action::Refuse { id: i, retry_after_ms } if *i == id => Some(*retry_after_ms),
+        Action::Refuse { id: i, retry_after_ms, .. } if *i == id => Some(*retry_after_ms),
         _ => None,
     });
     assert!(wait.is_some_and(|ms| ms >= 400.0), "PRAT and T: {wait:?}");
     let mut w = World::new(Settings { retry_after: false, ..settings() }, 1);
     let id = w.ask(0, Some(1));
     assert_eq!(w.answer(id), Some("refused"), "an empty list refuses");
-    assert!(w.trace.contains(&Action::Refuse { id, retry_after_ms: 0.0 }));
+    let plain = |a: &Action| matches!(a, Action::Refuse { id: i, retry_after_ms: 0.0, .. } if *i == id);
+    assert!(w.trace.iter().any(plain));
 }
 
 // ---- picking ----
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -137,7 +137,11 @@
     let mut out = String::new();
     let (id, backend) = (RequestId(7), entry.backend);
     n.action(3, &Action::Send { id, backend, timeout_ms: 80.0, begin_within_ms: f64::INFINITY }, &mut out);
-    n.action(3, &Action::Refuse { id: RequestId(7), retry_after_ms: 0.0 }, &mut out);
+    n.action(
+        3,
+        &Action::Refuse { id: RequestId(7), retry_after_ms: 0.0, reason: Reason::Blocked },
+        &mut out,
+    );
     n.action(3, &Action::Release(entry.backend), &mut out);
     n.action(3, &Action::Tell { to: None, bytes: vec![104, 10] }, &mut out);
     n.action(3, &Action::Tell { to: Some(5), bytes: vec![] }, &mut out);
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -148,6 +148,7 @@
                 key: Some(*key),
                 deadline_ms: 1000.0,
                 effort_ms: None,
+                waited_ms: 0.0,
                 retry: false,
             };
             out.clear();
@@ -212,6 +213,7 @@
                     key: Some(key),
                     deadline_ms: now + 1000.0,
                     effort_ms: None,
+                    waited_ms: 0.0,
                     retry: false,
                 };
                 nodes[at].handle(now, Event::Request(request), &mut out);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -179,7 +179,7 @@
                 let ends = ends.min(asked.request.deadline_ms);
                 asked.attempts.push(Sent { backend: *backend, at: self.now, ends, outcome: None });
             }
-            Action::Refuse { id, retry_after_ms } => {
+            Action::Refuse { id, retry_after_ms, .. } => {
                 assert!(*retry_after_ms <= self.s.max_retry_after_ms, "advice above the most");
                 assert!(self.s.retry_after || *retry_after_ms == 0.0, "advice where none is sent");
                 let asked = self.asked.get_mut(id).expect("a known request");
@@ -190,7 +190,7 @@
                 assert!(harmless, "rule 2: refused though it may have run");
                 asked.answer = Some("refused");
             }
-            Action::Fail(id) => {
+            Action::Fail { id, .. } => {
                 let asked = self.asked.get_mut(id).expect("a known request");
                 assert!(asked.answer.is_none(), "rule 1: two answers");
                 asked.answer = Some("failed");
@@ -244,7 +244,15 @@
     pub fn ask_as(&mut self, class: usize, key: Option<u64>, given: f64, retry: bool) -> RequestId {
         self.next += 1;
         let id = RequestId(self.next);
-        let request = Request { id, class, key, deadline_ms: self.now + given, effort_ms: None, retry };
+        let request = Request {
+            id,
+            class,
+            key,
+            deadline_ms: self.now + given,
+            effort_ms: None,
+            retry,
+            waited_ms: 0.0,
+        };
         self.asked.insert(id, Asked { request, attempts: Vec::new(), answer: None, whole_at: self.now });
         self.feed(Event::Request(request));
         id
--- a/tests/node_crossings.rs
+++ b/tests/node_crossings.rs
@@ -97,7 +97,7 @@
         let mut clients = node.frozen(|| {
             let mut clients: Vec<Client> = (0..8).map(|_| Client::connect(node.address)).collect();
             for client in &mut clients {
-                assert!(client.send(&request("bid", 900)));
+                assert!(client.send(&request("page", 4000)));
             }
             // Longer than new connections are waited for.
             thread::sleep(Duration::from_millis(1700));
--- a/tests/node_waiting.rs
+++ b/tests/node_waiting.rs
@@ -1,6 +1,7 @@
 //! Requests that waited for the node before it took their connection.
 mod node;
 
+use node::faults::{Fault, Faults};
 use node::*;
 use serde_json::Value;
 use std::io::Write;
@@ -14,6 +15,13 @@
 
 #[test]
 fn a_request_that_waited_for_the_process_is_given_only_the_time_that_is_left() {
+    for step_ms in [0, 3_600_000, -3_600_000] {
+        waits_for_the_process(step_ms);
+    }
+}
+
+/// Two requests come while no process runs; by the next one the wall clock has been stepped.
+fn waits_for_the_process(step_ms: i64) {
     let record = Record::default();
     let told: Arc<Mutex<Vec<(u64, Instant)>>> = Arc::default();
     let seen = told.clone();
@@ -24,7 +32,8 @@
     });
     let discovery = Discovery::start(all_up(&[address]));
     let socket = TcpListener::bind(free_address()).unwrap();
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("waiting-{}", std::process::id()));
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("waiting-{}-{step_ms}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     let known = serde_json::json!({"rev": 1, "all": true, "targets": all_up(&[address])});
@@ -46,7 +55,9 @@
     let (mut long, sent) = send(3000);
     let (mut short, _) = send(300);
     std::thread::sleep(Duration::from_millis(800));
-    let _next = Node::inherit(discovery.address, &socket, &folder, console);
+    let faults = Faults::new(1);
+    faults.set(Fault::WallOffsetMs, step_ms);
+    let _next = Node::inherit_with(discovery.address, &socket, &folder, console, |c| faults.preload(c));
     let status =
         |stream: &mut TcpStream| Message::read(&mut std::io::BufReader::new(stream)).unwrap().status();
     assert_eq!(status(&mut long), 200);
