Drop a line of the log for which there is no room, rather than wait

Standard error may be a pipe that nobody reads. Once it was full (64 KiB: some 25 s of a log at its bound) the write of the next line waited, and with it the only thread: no request, no signal, no drain, for good. The bound on lines a second had hidden it.

A pipe is opened anew without waiting, which concerns this process alone; anything else is asked first whether it has room. A line is 4,096 bytes at most, which a pipe takes whole or not at all; lost ones are counted. Ruled out: a thread for the log, which this needs no more; O_NONBLOCK on the inherited descriptor, which others share.

--- a/src/node/log.rs
+++ b/src/node/log.rs
@@ -3,8 +3,12 @@
 //! There are lines on the node, and one line on each request that did not go well: what it met, by its id. Both are
 //! bounded in number; `LB_TRACE=all` has a line on every request.
 
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use std::cell::{Cell, OnceCell};
+use std::fs::File;
 use std::io::Write;
+use std::os::fd::AsFd;
+use std::os::unix::fs::{FileTypeExt, OpenOptionsExt};
 use std::time::{Duration, Instant};
 
 /// Lines on the node in one second; more than this says nothing new.
@@ -48,6 +52,9 @@
     static NODE: Cell<Budget> = Cell::default();
     static REQUESTS: Cell<Budget> = Cell::default();
     static ALL_REQUESTS: OnceCell<bool> = const { OnceCell::new() };
+    static SINK: OnceCell<Sink> = const { OnceCell::new() };
+    /// Lines that found no room since one was last written.
+    static LOST: Cell<u64> = const { Cell::new(0) };
 }
 
 /// Writes a line, unless this second has had its share.
@@ -58,9 +65,65 @@
 }
 
 /// Writes a line whatever has been written: for what must not happen, and happens seldom.
+///
+/// A log that nobody takes must neither end the node nor hold it up: a line for which there is no room is dropped.
 pub fn urgent(text: &str) {
-    // A log that nobody can take must not end the node.
-    let _ = writeln!(std::io::stderr(), "applemill: {text}");
+    let mut line = format!("applemill: {text}");
+    line.truncate(line.floor_char_boundary(LONGEST_LINE - 1));
+    line.push('\n');
+    let written = SINK.with(|sink| sink.get_or_init(Sink::open).write(line.as_bytes()));
+    if !written {
+        LOST.set(LOST.get() + 1);
+        return;
+    }
+    let lost = LOST.take();
+    if lost > 0 {
+        let line = format!("applemill: {lost} lines of the log were lost: nobody took them\n");
+        SINK.with(|sink| sink.get_or_init(Sink::open).write(line.as_bytes()));
+    }
+}
+
+/// A pipe that has room at all takes so much at once.
+const LONGEST_LINE: usize = 4096;
+const STANDARD_ERROR: &str = "/proc/self/fd/2";
+
+/// Where lines go.
+enum Sink {
+    /// The pipe that is standard error, opened anew: whether writes wait is then for this process alone to say.
+    Pipe(File),
+    /// Anything else, or a pipe that may not be opened: others may write to it, too.
+    Shared,
+}
+
+impl Sink {
+    fn open() -> Sink {
+        let is_pipe = std::fs::metadata(STANDARD_ERROR).is_ok_and(|found| found.file_type().is_fifo());
+        let opened = is_pipe.then(|| {
+            let mut options = File::options();
+            options.write(true).custom_flags(libc::O_NONBLOCK).open(STANDARD_ERROR).ok()
+        });
+        opened.flatten().map_or(Sink::Shared, Sink::Pipe)
+    }
+
+    /// Writes a line if there is room for it; says whether it was written.
+    fn write(&self, line: &[u8]) -> bool {
+        match self {
+            Sink::Pipe(pipe) => {
+                let mut pipe = pipe;
+                pipe.write_all(line).is_ok()
+            }
+            Sink::Shared => has_room() && std::io::stderr().write_all(line).is_ok(),
+        }
+    }
+}
+
+/// Standard error takes a line without a wait.
+fn has_room() -> bool {
+    let stderr = std::io::stderr();
+    let mut wanted = [PollFd::new(stderr.as_fd(), PollFlags::POLLOUT)];
+    // Where the system cannot tell, a line is better than none.
+    poll(&mut wanted, PollTimeout::ZERO).is_err()
+        || wanted[0].revents().is_none_or(|ready| ready.contains(PollFlags::POLLOUT))
 }
 
 /// A line is wanted on every request.
