Send cold servers the least that is always allowed where no warm one is known

The cold budget is a part of what warm servers were seen to bear.

Until a warm server was seen at work, all nodes together send a cold one three requests a window: N + 3 x root of N + 3 allows that whatever N is. From there the budget of what a server was just seen to serve takes over.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -663,7 +663,10 @@
         let spread = if self.many() { 2.0 } else { 18_f64.sqrt() };
         let root = ((spread * spread + 4.0 * budget).sqrt() - spread) / 2.0;
         let proven = if self.many() { 0.0 } else { PROVEN * self.backends[index].served };
-        (root * root / seconds / all).min(part * self.warm_rate).max(proven)
+        // Before any warm one was seen at work nothing is known of what they can do, and there may be none: the least
+        // that is allowed whatever they can do is sent, lest nothing is served until the first is warm.
+        let unknown = if self.warm_rate > 0.0 { 0.0 } else { ALWAYS_ALLOWED / seconds / all };
+        (root * root / seconds / all).min(part * self.warm_rate).max(proven).max(unknown)
     }
 
     /// What the cold budget still allows at this moment: one request at once, since chance adds to it.
@@ -1277,6 +1280,8 @@
 const PRESSURE_ODDS: f64 = 2.5;
 /// Keys that one with a backend's mean share of the traffic counts as, beyond the first.
 const HOT_KEY_PARTS: f64 = 4.0;
+/// Requests that all nodes together may send any cold backend in one window, however little it can do.
+const ALWAYS_ALLOWED: f64 = 3.0;
 /// Multiple of what a cold backend served in the last second that it is sent in the next.
 const PROVEN: f64 = 2.0;
 /// Work of a request at a backend that knows no key, over its work at a warm one.
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -31,6 +31,8 @@
     burst: Option<(f64, f64, f64)>,
     /// For how long before its start the cold backend is away, and how late nodes hear of it at the most.
     away: Option<(f64, f64)>,
+    /// All backends start when the cold one does, and nobody has asked for anything before.
+    opening: bool,
     multiple: f64,
     fall_ms: f64,
     /// What a warm backend can do, in requests a second.
@@ -46,6 +48,7 @@
     hot: 0.0,
     burst: None,
     away: None,
+    opening: false,
     multiple: 3.0,
     fall_ms: 1000.0,
     cap: 12.0,
@@ -123,7 +126,8 @@
         nodes.push(Balancer::new(s.clone(), seed * 1000 + n as u64).unwrap());
         out.clear();
         nodes[n].handle(0.0, Event::Start, &mut out);
-        nodes[n].handle(0.0, Event::List { kind: ListKind::Full, entries: everyone.clone() }, &mut out);
+        let entries = if fleet.opening { Vec::new() } else { everyone.clone() };
+        nodes[n].handle(0.0, Event::List { kind: ListKind::Full, entries }, &mut out);
         for a in &out {
             if let Action::Timer { token, at_ms } = a {
                 push(&mut due, at_ms + rng.f64() * 100.0, n, What::Timer(*token));
@@ -160,7 +164,7 @@
     let weights: Vec<f64> = (0..nodes.len()).map(|_| 0.3 + rng.f64() * 1.4).collect();
     let total: f64 = weights.iter().sum();
     let rate = fleet.load * fleet.cap * (fleet.warm + 1) as f64 / 1000.0;
-    push(&mut due, 0.0, 0, What::Arrival);
+    push(&mut due, if fleet.opening { START } else { 0.0 }, 0, What::Arrival);
     let mut rooms: HashMap<BackendId, (f64, f64)> = HashMap::new();
     let mut attempts: HashMap<RequestId, u32> = HashMap::new();
     let mut told = vec![false; nodes.len()];
@@ -182,6 +186,9 @@
             What::List(n) => {
                 told[node] = true;
                 let entries = match (n, fleet.leave) {
+                    _ if fleet.opening => {
+                        everyone.iter().map(|e| Entry { ready_at_ms: START, ..*e }).collect()
+                    }
                     (0, _) | (_, None) => vec![Entry { ready_at_ms: START, ..up(1) }],
                     (_, Some((_, gone))) => {
                         (2..2 + gone).map(|n| Entry { health: Health::Gone, ..up(n) }).collect()
@@ -290,6 +297,9 @@
             ("half of the nodes are down", Fleet { nodes: fleet.nodes / 2, ..fleet.clone() }),
             ("back while the list is late", Fleet { away: Some((3000.0, 2000.0)), ..fleet.clone() }),
             ("near its fall at its usual rate", Fleet { multiple: 1.5, load: 0.9, ..fleet.clone() }),
+            ("an opening", Fleet { opening: true, ..fleet.clone() }),
+            ("an opening with much asked", Fleet { opening: true, load: 1.5, ..fleet.clone() }),
+            ("an opening of small ones", Fleet { opening: true, cap: 5.0, ..fleet.clone() }),
             ("a long window", Fleet { fall_ms: 3000.0, hot: 0.2, ..fleet.clone() }),
         ]);
         if few {
@@ -326,6 +336,16 @@
     }
 }
 
+#[test]
+fn a_fleet_whose_backends_all_start_at_once_serves() {
+    for nodes in [2, 6, 25] {
+        let opening = Fleet { nodes, told_nodes: nodes, opening: true, ..FLEET };
+        let usual = Fleet { opening: false, ..opening.clone() };
+        let (seen, usual) = (play(&opening, 1), play(&usual, 1));
+        assert!(seen.late > 0.5 * usual.warm, "{nodes} nodes: {} of {}", seen.late, usual.warm);
+    }
+}
+
 #[test]
 fn a_cold_backend_warms_up_and_serves() {
     for (fleet, least) in [(FLEET, 0.25), (LARGE, 0.15)] {
