Soak: requests in pieces, answers in all framings, and three things the oracle held wrongly

Clients write some requests in two pieces; servers answer by length, in chunks or to the end of the connection. The oracle took three things for breaks that are none: a request that came while a killed node had no process is late with it; one whose connection ended before its last byte was written never was one; and a pushed agent that is slow by more than the grace cannot be kept to.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -19,6 +19,10 @@
 /// So much longer until that counts as broken here.
 const RUDE_SLACK: f64 = 0.35;
 
+/// One in so many requests comes in two pieces, so far apart at most.
+const IN_PIECES: u32 = 8;
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
 /// What the front knows of a node.
 #[derive(Debug)]
 pub struct Door {
@@ -47,12 +51,17 @@
     stream: BufReader<TcpStream>,
 }
 
-impl Kept {
-    /// As far as the client can tell, the node has not ended it.
-    fn is_open(&self) -> bool {
-        let read = self.stream.get_ref().try_read(&mut [0]);
-        matches!(read, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
-    }
+/// As far as the client can tell, the node has not ended it, and has said nothing on it.
+fn is_open(stream: &TcpStream) -> bool {
+    matches!(stream.try_read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// How the writing of a request ended.
+enum Written {
+    /// With its last byte.
+    Whole,
+    /// The node ended the connection, or answered, between its two pieces.
+    EndedBefore,
 }
 
 impl Clients {
@@ -80,7 +89,8 @@
             tokio::time::sleep(mean.mul_f64(pace * -rng.f64().max(1e-6).ln())).await;
             let home = number as usize % self.doors.len();
             let node = if rng.u32(..10) > 1 { home } else { rng.usize(..self.doors.len()) };
-            let used = kept.remove(&node).filter(|kept| kept.is_open() && rng.u32(..10) > 0);
+            let used =
+                kept.remove(&node).filter(|kept| is_open(kept.stream.get_ref()) && rng.u32(..10) > 0);
             let class = Class::ALL[rng.usize(..Class::ALL.len())];
             let wait = class.limit().mul_f64(0.5 + 0.5 * rng.f64());
             let again = match self.ask(&mut rng, node, used, class, wait).await {
@@ -136,14 +146,22 @@
             closed: None,
         };
         self.record.asked.lock().unwrap().insert(id, asked);
-        let written = connection.stream.get_mut().write_all(&bytes).await;
+        let written = self.write(rng, connection.stream.get_mut(), &bytes).await;
         let change = |change: &dyn Fn(&mut Asked, f64)| {
             let now = self.record.now();
             self.record.asked.lock().unwrap().get_mut(&id).into_iter().for_each(|asked| change(asked, now));
         };
-        if written.is_err() {
-            change(&|asked, now| asked.closed = Some((now, false)));
-            return if new_connection { Ended::Over } else { Ended::Crossed };
+        match written {
+            Ok(Written::Whole) => {}
+            Ok(Written::EndedBefore) => {
+                // It never was a request.
+                self.record.asked.lock().unwrap().remove(&id);
+                return Ended::Over;
+            }
+            Err(_) => {
+                change(&|asked, now| asked.closed = Some((now, false)));
+                return if new_connection { Ended::Over } else { Ended::Crossed };
+            }
         }
         change(&|asked, now| asked.sent = now);
         let leaves = rng.u64(..100) < self.leaving.load(Ordering::SeqCst);
@@ -170,6 +188,22 @@
         }
     }
 
+    /// Writes a request, now and then in two pieces with a pause between them.
+    async fn write(&self, rng: &mut Rng, stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<Written> {
+        if rng.u32(..IN_PIECES) > 0 {
+            stream.write_all(bytes).await?;
+            return Ok(Written::Whole);
+        }
+        let (first, rest) = bytes.split_at(rng.usize(1..bytes.len()));
+        stream.write_all(first).await?;
+        tokio::time::sleep(LONGEST_PAUSE.mul_f64(rng.f64())).await;
+        if !is_open(stream) {
+            return Ok(Written::EndedBefore);
+        }
+        stream.write_all(rest).await?;
+        Ok(Written::Whole)
+    }
+
     /// Half a request that stays: it must get an error or a close.
     pub async fn half_request(self: Arc<Self>, node: usize, seed: u64) {
         let mut rng = Rng::with_seed(seed);
--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -14,8 +14,9 @@
 
 /// After a new configuration the old address takes no new calls, and closes open ones so much later.
 const MOVED_CLOSES: Duration = Duration::from_millis(1500);
-/// How late a slow discovery answers.
+/// How late a slow discovery answers; what an agent has counts at once, so one that is slower could not be held to it.
 const SLOW: Duration = Duration::from_millis(1200);
+const SLOW_AGENT: Duration = Duration::from_millis(200);
 /// How long a change counts as told at the latest, once discovery could be reached.
 pub const TOLD_AT_LATEST: f64 = 6.0;
 /// The longest wait of a call.
@@ -269,7 +270,8 @@
             return None;
         }
         if manner.slow {
-            tokio::time::sleep(SLOW.mul_f64(0.3 + 0.7 * fastrand::f64())).await;
+            let slow = if self.membership == Membership::Pushed { SLOW_AGENT } else { SLOW };
+            tokio::time::sleep(slow.mul_f64(0.3 + 0.7 * fastrand::f64())).await;
         }
         let list = self.list.lock().unwrap();
         let body = since(&list, after);
--- a/soak/src/node.rs
+++ b/soak/src/node.rs
@@ -162,6 +162,7 @@
             let took = self.site.record.now() - began;
             if self.up().await == 200 {
                 self.site.record.ready.lock().unwrap().push(took);
+                self.end_gaps();
                 return self.open_door(true);
             }
             if took > READY_LIMIT {
@@ -174,6 +175,14 @@
         }
     }
 
+    fn end_gaps(&self) {
+        let now = self.site.record.now();
+        let mut gaps = self.site.record.gaps.lock().unwrap();
+        gaps.iter_mut()
+            .filter(|gap| gap.node == self.number)
+            .for_each(|gap| gap.until = gap.until.min(now));
+    }
+
     fn broke(&self, rule: Rule, what: &str) {
         self.site.record.broke(rule, format!("node {}: {what}", self.number));
     }
@@ -203,7 +212,8 @@
 
     fn gap(&self, killed: bool) {
         let from = self.site.record.now();
-        self.site.record.gaps.lock().unwrap().push(Gap { node: self.number, from, killed });
+        let gap = Gap { node: self.number, from, killed, until: f64::INFINITY };
+        self.site.record.gaps.lock().unwrap().push(gap);
     }
 
     /// SIGTERM, the end in time, and a new process.
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -91,8 +91,10 @@
     pub node: usize,
     /// When it was killed, or told to end.
     pub from: f64,
-    /// It was killed: what it had is lost.
+    /// It was killed: what it had is lost, and what came before the next process was ready may be late.
     pub killed: bool,
+    /// When the next process was ready.
+    pub until: f64,
 }
 
 /// What is less is in the slack of every rule.
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -165,7 +165,8 @@
         let load = self.waiting.fetch_sub(1, Ordering::SeqCst);
         let body = body(id, self.number, nonce);
         let headers = format!("Endpoint-Load-Metrics: TEXT inflight={load}\r\n");
-        let mut bytes = answer("200 OK", &headers, body.as_bytes());
+        let framing = Framing::ALL[(nonce % Framing::ALL.len() as u64) as usize];
+        let mut bytes = framing.answer(&headers, body.as_bytes());
         if manner == Manner::Spoils && nonce.is_multiple_of(2) {
             match nonce % 3 {
                 0 => bytes.truncate(bytes.len() - 5),
@@ -174,7 +175,47 @@
             }
             return Some(Reply { bytes, whole: false });
         }
-        Some(Reply::whole(bytes))
+        Some(Reply { bytes, whole: framing != Framing::Close })
+    }
+}
+
+/// How the end of an answer is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunks,
+    /// By the end of the connection.
+    Close,
+}
+
+impl Framing {
+    const ALL: [Framing; 8] = [
+        Framing::Length,
+        Framing::Length,
+        Framing::Chunks,
+        Framing::Length,
+        Framing::Length,
+        Framing::Close,
+        Framing::Length,
+        Framing::Chunks,
+    ];
+
+    fn answer(self, headers: &str, body: &[u8]) -> Vec<u8> {
+        let head = |framing: &str| format!("HTTP/1.1 200 OK\r\n{headers}{framing}\r\n").into_bytes();
+        match self {
+            Framing::Length => answer("200 OK", headers, body),
+            Framing::Close => [&head("Connection: close\r\n"), body].concat(),
+            Framing::Chunks => {
+                let mut bytes = head("Transfer-Encoding: chunked\r\n");
+                for chunk in body.chunks(10) {
+                    bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+                    bytes.extend_from_slice(chunk);
+                    bytes.extend_from_slice(b"\r\n");
+                }
+                bytes.extend_from_slice(b"0\r\n\r\n");
+                bytes
+            }
+        }
     }
 }
 
