Show a request that is lost as its rest comes: one test that fails

Half of it is read; the rest, and clients that want places, come while the node has no turn. It closes the connection for its place, with the whole request in the system's hands.

--- a/tests/node_waiting.rs
+++ b/tests/node_waiting.rs
@@ -69,3 +69,32 @@
     assert!(Duration::from_millis(expires) <= left + SLACK, "{expires} ms told with {left:?} left");
     let _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn a_request_whose_rest_came_while_the_node_had_no_turn_is_answered_under_pressure() {
+    let record = Record::default();
+    let discovery = Discovery::start(all_up(&backends(2, &record, |_, _| ok(b"ok"))));
+    let node = Node::start(discovery.address, |c| c["limits"]["sockets"] = 44.into());
+    for round in 0..20 {
+        let mut halves: Vec<(Client, Vec<u8>)> = (0..6)
+            .map(|_| {
+                let mut client = Client::connect(node.address);
+                let bytes = request("page", 4000);
+                assert!(client.send(&bytes[..40]));
+                (client, bytes[40..].to_vec())
+            })
+            .collect();
+        // Their first halves are read, and they are no longer fresh.
+        quiet_moment();
+        let idle: Vec<Client> = node.frozen(|| {
+            // The node meets these first, and looks for places.
+            let idle = (0..30).filter_map(|_| Client::try_connect(node.address)).collect();
+            halves.iter_mut().for_each(|(client, rest)| assert!(client.send(rest)));
+            idle
+        });
+        for (client, _) in &mut halves {
+            assert_eq!(client.answer().map(|m| m.status()), Some(200), "round {round}");
+        }
+        drop(idle);
+    }
+}
