Read what the system holds before a connection is closed for its place

Under pressure for descriptors, or as it winds down, the node closed a connection on which part of a head had been read without asking the system for more: a request whose rest had just come was lost, on a new connection or a kept one. The same look had been made for idle ones only.

Whatever was read so far, nothing is closed for its place while the system holds bytes of it.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -183,19 +183,19 @@
     }
 
     /// May be closed now, asking the system too. Who has just connected is about to ask.
+    ///
+    /// What the system holds unread may be a whole request, or the rest of one, whatever this node has read so far: it
+    /// is read first.
     fn may_close(&self) -> bool {
-        let begun = self.begun();
         match self.turn() {
             None => false,
             Some(Turn::Over) => true,
-            Some(Turn::AskedNothing) => {
-                self.idle_since.get().elapsed() > FRESH && (begun || self.socket.quiet())
-            }
+            Some(Turn::AskedNothing) => self.idle_since.get().elapsed() > FRESH && self.socket.quiet(),
             Some(Turn::Idle) => self.socket.quiet(),
             Some(Turn::Stuck) => {
                 let seen = self.stuck_since.get().unwrap_or_else(Instant::now);
                 self.stuck_since.set(Some(seen));
-                seen.elapsed() > STUCK
+                seen.elapsed() > STUCK && self.socket.quiet()
             }
         }
     }
