--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -228,6 +228,48 @@
         }
     }
 
+    /// Several requests in one write; each gets its answer or, behind one that ends the connection, nothing.
+    pub async fn pipeline(self: Arc<Self>, node: usize, count: usize) {
+        if !self.doors[node].open.load(Ordering::SeqCst) {
+            return;
+        }
+        let Ok(mut stream) = TcpStream::connect(self.doors[node].address).await else { return };
+        let first = self.next.fetch_add(count as u64, Ordering::SeqCst);
+        let ids = first..first + count as u64;
+        let mut bytes = Vec::new();
+        for id in ids.clone() {
+            bytes.extend(request(id, Class::View, Class::View.limit(), id % 50));
+            let asked = Asked {
+                class: Class::View,
+                node,
+                sent: self.record.now(),
+                wait: Class::View.limit().as_secs_f64() * count as f64,
+                new_connection: false,
+                left: None,
+                answer: None,
+                closed: None,
+            };
+            self.record.asked.lock().unwrap().insert(id, asked);
+        }
+        let _ = stream.write_all(&bytes).await;
+        let mut stream = BufReader::new(stream);
+        for id in ids {
+            let read = Message::read(&mut stream, || {});
+            let answered = tokio::time::timeout(Class::View.limit() + OVERTIME, read).await;
+            let now = self.record.now();
+            let mut requests = self.record.asked.lock().unwrap();
+            let Some(asked) = requests.get_mut(&id) else { return };
+            match answered {
+                Ok(Ok(message)) => {
+                    let body = String::from_utf8_lossy(&message.body).into_owned();
+                    asked.answer = Some((now, message.status(), body));
+                }
+                Ok(Err(broken)) => asked.closed = Some((now, matches!(broken, Broken::Midway))),
+                Err(_) => return,
+            }
+        }
+    }
+
     /// A connection that asks for nothing, until the node ends it.
     pub async fn idle(self: Arc<Self>, node: usize) {
         if !self.doors[node].open.load(Ordering::SeqCst) {
--- a/soak/src/node.rs
+++ b/soak/src/node.rs
@@ -52,6 +52,8 @@
     pub record: Arc<Record>,
     /// Of the processes' own random numbers.
     pub seed: u64,
+    /// Descriptors that each may hold.
+    pub sockets: usize,
 }
 
 struct Process {
@@ -118,6 +120,7 @@
             discovery: self.addresses.discovery[place],
             console,
             seed: self.site.seed ^ u64::from(n) << 32 ^ self.number as u64,
+            sockets: self.site.sockets,
         };
         let (known, settings) = (self.site.discovery.known(), &self.site.settings[self.number]);
         let config = config(&start, &self.addresses, &self.site.peers, &known, settings);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -9,7 +9,7 @@
 use crate::record::{Ban, Change, Record};
 use crate::schedule::{Event, Size, Trouble};
 use crate::server::{CORES, Manner, Server, WORK};
-use crate::settings::{Addresses, Membership, settings};
+use crate::settings::{Addresses, Shape, settings};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -18,8 +18,6 @@
 
 /// Of all nodes, those that have a socket and a folder that last.
 const KEPT_PART: usize = 3;
-/// Part of what all servers can do that is asked for.
-const LOAD: f64 = 0.45;
 /// Clients for each node.
 const CLIENTS: u64 = 6;
 /// What is still out after the last request is waited for.
@@ -84,6 +82,7 @@
     clients: Arc<Clients>,
     nodes: Vec<Arc<Node>>,
     wall_offset_ms: AtomicI64,
+    shape: Shape,
     /// When clients began to ask, in seconds since the start.
     asked_from: Mutex<f64>,
 }
@@ -122,7 +121,8 @@
     }
 
     async fn set_up(plan: &Plan, record: Arc<Record>, folder: PathBuf) -> Run {
-        let membership = if plan.seed.is_multiple_of(2) { Membership::Pushed } else { Membership::Asked };
+        let shape = Shape::draw(plan.seed);
+        let membership = shape.membership;
         let mut servers = Vec::new();
         for number in 0..plan.servers {
             servers.push(Server::start(number, free_address(), record.clone()).await);
@@ -148,6 +148,7 @@
             clients: clients.clone(),
             record: record.clone(),
             seed: plan.seed,
+            sockets: shape.sockets,
         });
         let kept_from = size(plan.nodes, plan.servers, 0).kept_from;
         let nodes = addresses.into_iter().enumerate().map(|(number, addresses)| {
@@ -164,6 +165,7 @@
             clients,
             nodes,
             wall_offset_ms: AtomicI64::new(0),
+            shape,
             asked_from: Mutex::new(0.0),
         }
     }
@@ -171,7 +173,7 @@
     async fn ask_and_trouble(self: &Arc<Self>, plan: &Plan) {
         let capacity = plan.servers as f64 * CORES as f64 / WORK.as_secs_f64();
         let count = CLIENTS * plan.nodes as u64;
-        let mean = Duration::from_secs_f64(count as f64 / (capacity * LOAD));
+        let mean = Duration::from_secs_f64(count as f64 / (capacity * Shape::draw(plan.seed).load));
         let mut clients = JoinSet::new();
         for number in 0..count {
             clients.spawn(self.clients.clone().run(number, mean));
@@ -203,11 +205,32 @@
         watch.abort();
     }
 
-    async fn trouble(&self, trouble: Trouble) {
+    async fn trouble(self: &Arc<Self>, trouble: Trouble) {
         let ms = Duration::from_millis;
         match trouble {
             Trouble::Terminate { node } => self.nodes[node].terminate().await,
             Trouble::Kill { node, down_ms } => self.nodes[node].kill(ms(down_ms)).await,
+            Trouble::Herd { percent, down_ms } => {
+                let mut kills = JoinSet::new();
+                for node in &self.nodes[..self.nodes.len() * percent / 100] {
+                    let node = node.clone();
+                    kills.spawn(async move { node.kill(ms(down_ms)).await });
+                }
+                kills.join_all().await;
+            }
+            Trouble::Release { for_ms } => {
+                let mut replaced = JoinSet::new();
+                for server in 0..self.servers.len() / 2 {
+                    let run = self.clone();
+                    let later = ms(for_ms).mul_f64(server as f64 / self.servers.len() as f64);
+                    replaced.spawn(async move {
+                        tokio::time::sleep(later).await;
+                        run.replace(server, ms(for_ms)).await;
+                    });
+                }
+                replaced.join_all().await;
+            }
+            Trouble::Pipeline { node, count } => self.clients.clone().pipeline(node, count).await,
             Trouble::Reload { node } => self.nodes[node].reload().await,
             Trouble::Upgrade { node } => self.nodes[node].upgrade().await,
             Trouble::HoldUp { node, for_ms } => self.nodes[node].hold_up(ms(for_ms)).await,
@@ -222,13 +245,7 @@
                 tokio::time::sleep(ms(for_ms)).await;
                 self.discovery.change(server, "up", None, Change::Serves);
             }
-            Trouble::Replace { server, for_ms } => {
-                self.discovery.change(server, "removed", None, Change::Leaves);
-                tokio::time::sleep(ANSWERS_ON.min(ms(for_ms))).await;
-                self.servers[server].die().await;
-                tokio::time::sleep(ms(for_ms)).await;
-                self.revive(server).await;
-            }
+            Trouble::Replace { server, for_ms } => self.replace(server, ms(for_ms)).await,
             Trouble::Crash { server, for_ms } => {
                 self.servers[server].die().await;
                 tokio::time::sleep(NOTICE).await;
@@ -322,6 +339,15 @@
         }
     }
 
+    /// The list drops a server, which ends a while later and comes back cold.
+    async fn replace(&self, server: usize, time: Duration) {
+        self.discovery.change(server, "removed", None, Change::Leaves);
+        tokio::time::sleep(ANSWERS_ON.min(time)).await;
+        self.servers[server].die().await;
+        tokio::time::sleep(time).await;
+        self.revive(server).await;
+    }
+
     async fn manner(&self, server: usize, manner: Manner, for_ms: u64) {
         self.servers[server].set(manner);
         tokio::time::sleep(Duration::from_millis(for_ms)).await;
@@ -394,8 +420,9 @@
             breaks.clear();
         }
         let summary = format!(
-            "{} requests: {served} served, {refused} refused, {failed} failed, {left} left, {none} without answer; \
+            "{:?}; {} requests: {served} served, {refused} refused, {failed} failed, {left} left, {none} without answer; \
              {attempts} attempts, {} breaks, late by {:.0} ms at most, {judged}",
+            self.shape,
             asked.len(),
             breaks.len(),
             stall * 1000.0
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -12,6 +12,12 @@
     Terminate { node: usize },
     /// SIGKILL, and a new process.
     Kill { node: usize, down_ms: u64 },
+    /// SIGKILL to a part of the nodes, in hundredths, and new processes.
+    Herd { percent: usize, down_ms: u64 },
+    /// Half of the servers are replaced within so long.
+    Release { for_ms: u64 },
+    /// Clients write several requests at once.
+    Pipeline { node: usize, count: usize },
     /// A new configuration that moves discovery, and SIGHUP.
     Reload { node: usize },
     /// A new process beside the old one, which is told to stop once the new one is ready.
@@ -119,7 +125,7 @@
     let kept = rng.usize(size.kept_from..size.nodes);
     let server = rng.usize(..size.servers);
     let for_ms = rng.u64(300..3000);
-    match rng.u32(..42) {
+    match rng.u32(..45) {
         0 | 1 => Trouble::Terminate { node },
         2 | 3 => Trouble::Kill { node, down_ms: rng.u64(50..1500) },
         4 => Trouble::Reload { node },
@@ -148,6 +154,9 @@
         32 => Trouble::StepClock {
             by_ms: if rng.bool() { 3_600_000 } else { -3_600_000 } + rng.i64(-9000..9000),
         },
+        33 => Trouble::Herd { percent: rng.usize(20..80), down_ms: rng.u64(50..1000) },
+        34 => Trouble::Release { for_ms: 2000 + for_ms },
+        35 => Trouble::Pipeline { node, count: rng.usize(2..12) },
         _ => match rng.u32(..4) {
             0 => Trouble::Interrupt { node, one_in: rng.i64(5..20), for_ms },
             1 => Trouble::LocalFailures { node, one_in: rng.i64(4..20), for_ms },
--- a/soak/src/settings.rs
+++ b/soak/src/settings.rs
@@ -31,8 +31,6 @@
 pub const MOST_ATTEMPTS: usize = 4;
 /// Idle connections to servers are closed by them after this.
 pub const SERVER_IDLE: Duration = Duration::from_secs(3);
-/// Descriptors that a node may hold.
-pub const SOCKETS: usize = 256;
 
 impl Class {
     /// All of them.
@@ -57,6 +55,29 @@
     }
 }
 
+/// What differs from one seed to the next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shape {
+    /// How nodes hear of the list.
+    pub membership: Membership,
+    /// Descriptors that a node may hold.
+    pub sockets: usize,
+    /// Part of what all servers can do that is asked for.
+    pub load: f64,
+}
+
+impl Shape {
+    /// That of a seed.
+    pub fn draw(seed: u64) -> Shape {
+        let mut rng = fastrand::Rng::with_seed(!seed);
+        Shape {
+            membership: if seed.is_multiple_of(2) { Membership::Pushed } else { Membership::Asked },
+            sockets: [64, 128, 256][rng.usize(..3)],
+            load: 0.3 + 0.6 * rng.f64(),
+        }
+    }
+}
+
 /// How nodes hear of the list of servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Membership {
@@ -115,6 +136,8 @@
     pub console: SocketAddr,
     /// Of its random numbers.
     pub seed: u64,
+    /// Descriptors that it may hold.
+    pub sockets: usize,
 }
 
 /// The configuration file of one process.
@@ -129,7 +152,7 @@
     json!({
         "name": start.name, "listen": addresses.listen.to_string(), "discovery": start.discovery.to_string(),
         "seed": format!("{:016x}", start.seed), "console": start.console.to_string(),
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": SOCKETS},
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": start.sockets},
         "peer_listen": addresses.peers.to_string(), "peers": peers,
         "known": known, "settings": settings
     })
