--- a/tests/node_system_calls.rs
+++ b/tests/node_system_calls.rs
@@ -113,3 +113,18 @@
     });
     assert!(node.running());
 }
+
+#[test]
+fn a_process_starts_though_sockets_cannot_be_had_for_a_moment() {
+    let record = Record::default();
+    let discovery = three_backends(&record);
+    for seed in 1..=6 {
+        let faults = Faults::new(seed);
+        faults.set(Fault::SocketFails, 2);
+        let node = Node::start_with(discovery.address, &faults, |c| {
+            c["console"] = free_address().to_string().into();
+            c["peer_listen"] = free_address().to_string().into();
+        });
+        assert_eq!(node.call("ready"), "done takes clients\n");
+    }
+}
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -4,7 +4,7 @@
  * FAULTS_CONTROL names a file of 64-bit numbers in the order of `enum control`; it is mapped, so that a test can
  * change the numbers while the process runs. A rate of N makes one call in N fail, chosen by a seeded generator;
  * 0 turns that fault off. Only sockets and regular files other than the standard streams are touched, and all but
- * EINTR concerns TCP sockets alone.
+ * EINTR and SOCKET_FAILS concerns TCP sockets alone.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -203,8 +203,8 @@
 }
 
 int socket(int domain, int type, int protocol) {
-    int tcp = (domain == AF_INET || domain == AF_INET6) && (type & 0xf) == SOCK_STREAM;
-    if (tcp && happens(SOCKET_FAILS)) return FAIL(ENFILE, ENOBUFS, ENOMEM);
+    int internet = domain == AF_INET || domain == AF_INET6;
+    if (internet && happens(SOCKET_FAILS)) return FAIL(ENFILE, ENOBUFS, ENOMEM);
     return REAL(socket)(domain, type, protocol);
 }
 
