Try again for a moment what a process cannot start without

A socket that could not be had as the process started (ENFILE, ENOBUFS, ENOMEM) ended it: with one such call in two failing no process of six started, where a restart asks for three sockets.

The listening socket, the console's, the one for peers and the pairs for signals are tried again for 5 s. An address that is taken or wrong still ends the start at once.

--- a/soak/src/settings.rs
+++ b/soak/src/settings.rs
@@ -72,7 +72,7 @@
         let mut rng = fastrand::Rng::with_seed(!seed);
         Shape {
             membership: if seed.is_multiple_of(2) { Membership::Pushed } else { Membership::Asked },
-            sockets: [64, 128, 256][rng.usize(..3)],
+            sockets: [128, 256, 512][rng.usize(..3)],
             load: 0.3 + 0.6 * rng.f64(),
         }
     }
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -28,7 +28,7 @@
 use crate::driver::{Driver, Input};
 use crate::guard::Guard;
 use crate::handover::Handover;
-use crate::peers::Peers;
+use crate::peers::{Nodes, Peers};
 use crate::request::Reader;
 use crate::server::Server;
 use crate::signals::Signals;
@@ -88,8 +88,8 @@
 
 async fn run(inherited: Option<std::net::TcpListener>) -> Result<(), Box<dyn Error>> {
     // Before all else: what these signals do by default is to end the process.
-    let mut terminate = Signals::terminate()?;
-    let hangup = Signals::hangup()?;
+    let mut terminate = system::insist(Signals::terminate).await?;
+    let hangup = system::insist(Signals::hangup).await?;
     let config = Config::load().map_err(|e| format!("configuration: {e}"))?;
     // Where the platform holds the listening socket, another process may serve beside this one.
     let version = Rc::new(Cell::new(None));
@@ -99,12 +99,15 @@
     let listens_since = inherited.is_none().then(Instant::now);
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener),
-        None => listen(&config),
+        None => system::insist(|| listen(&config)).await,
     };
     let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     arrival::note_times(&listener);
     let console = match config.console {
-        Some(at) => Some(Console::bind(at).map_err(|e| format!("console: {at}: {e}"))?),
+        Some(at) => {
+            let bound = system::insist(|| Console::bind(at)).await;
+            Some(bound.map_err(|e| format!("console: {at}: {e}"))?)
+        }
         None => None,
     };
     let settings = config.settings.clone();
@@ -121,7 +124,8 @@
         Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms, buffer);
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
         Some(at) => {
-            let peers = Peers::new(at, shared, config.peers, config.peers_all, settings.slot);
+            let nodes = Nodes { all: config.peers, everyone: config.peers_all, own: settings.slot };
+            let peers = system::insist(|| Peers::new(at, shared, nodes.clone())).await;
             Some(Rc::new(peers.map_err(|e| format!("peer_listen: {at}: {e}"))?))
         }
         None => None,
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -12,29 +12,32 @@
 /// A longer datagram breaks the deployment's rules.
 const LONGEST: usize = 256;
 
+/// Where the nodes of the tier are.
+#[derive(Clone, Debug)]
+pub struct Nodes {
+    /// All of them, by number.
+    pub all: Vec<SocketAddr>,
+    /// Reaches every one of them, if there is such an address.
+    pub everyone: Option<SocketAddr>,
+    /// This node's number.
+    pub own: u32,
+}
+
 /// The other nodes of the tier.
 pub struct Peers {
     socket: UdpSocket,
-    nodes: Vec<SocketAddr>,
-    all: Option<SocketAddr>,
-    own: u32,
+    nodes: Nodes,
 }
 
 impl Peers {
-    /// Listens at `listen`; `own` is this node's number among `nodes`. A `shared` address is also that of the
-    /// process before this one or after it, for as long as there are two: each message reaches one of them.
-    pub fn new(
-        listen: SocketAddr,
-        shared: bool,
-        nodes: Vec<SocketAddr>,
-        all: Option<SocketAddr>,
-        own: u32,
-    ) -> std::io::Result<Peers> {
+    /// Listens at `listen`. A `shared` address is also that of the process before this one or after it, for as long as
+    /// there are two: each message reaches one of them.
+    pub fn new(listen: SocketAddr, shared: bool, nodes: Nodes) -> std::io::Result<Peers> {
         let socket = Socket::new(Domain::for_address(listen), Type::DGRAM, None)?;
         socket.set_reuse_port(shared)?;
         socket.set_nonblocking(true)?;
         socket.bind(&listen.into())?;
-        Ok(Peers { socket: UdpSocket::from_std(socket.into())?, nodes, all, own })
+        Ok(Peers { socket: UdpSocket::from_std(socket.into())?, nodes })
     }
 
     /// Sends to one node or to all others. A message that cannot go is lost, as any may be.
@@ -43,14 +46,14 @@
             log::line(&format!("message of {} bytes not sent", bytes.len()));
             return;
         }
-        let node = |n: u32| self.nodes.get(n as usize).copied();
+        let node = |n: u32| self.nodes.all.get(n as usize).copied();
         let others = || {
-            let others = self.nodes.iter().zip(0_u32..).filter(|(_, n)| *n != self.own);
+            let others = self.nodes.all.iter().zip(0_u32..).filter(|(_, n)| *n != self.nodes.own);
             others.map(|(address, _)| *address).collect()
         };
         let targets: Vec<SocketAddr> = match to {
             Some(n) => node(n).into_iter().collect(),
-            None => self.all.map_or_else(others, |all| vec![all]),
+            None => self.nodes.everyone.map_or_else(others, |everyone| vec![everyone]),
         };
         for target in targets {
             while self.socket.try_send_to(bytes, target).is_err_and(|e| interrupted(&e)) {}
@@ -74,7 +77,7 @@
                 tokio::time::sleep(Duration::from_millis(1)).await;
                 continue;
             };
-            let from = self.nodes.iter().zip(0_u32..).find(|(address, _)| **address == sender);
+            let from = self.nodes.all.iter().zip(0_u32..).find(|(address, _)| **address == sender);
             if let (Some((_, from)), Some(bytes)) = (from, buffer.get(..length))
                 && length <= LONGEST
             {
--- a/src/node/system.rs
+++ b/src/node/system.rs
@@ -31,6 +31,28 @@
     matches!(error.raw_os_error(), Some(libc::ENOBUFS | libc::ENOMEM))
 }
 
+/// For so long a process that starts tries to get what it cannot do without.
+const START_TIME: Duration = Duration::from_secs(5);
+
+/// The system lacks something that it may have again in a moment.
+fn lasts_a_moment(error: &io::Error) -> bool {
+    let lacks = matches!(error.raw_os_error(), Some(libc::ENFILE | libc::EAGAIN));
+    interrupted(error) || out_of_buffers(error) || lacks
+}
+
+/// Makes a call that the process cannot start without, again and again while the system cannot do it for the moment.
+pub async fn insist<T>(call: impl Fn() -> io::Result<T>) -> io::Result<T> {
+    let give_up = Instant::now() + START_TIME;
+    loop {
+        match call() {
+            Err(error) if lasts_a_moment(&error) && Instant::now() < give_up => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            done => return done,
+        }
+    }
+}
+
 /// Why there is no connection.
 #[derive(Debug, Error)]
 pub enum ConnectError {
