--- a/tests/node_durable_calls.rs
+++ b/tests/node_durable_calls.rs
@@ -158,3 +158,16 @@
     let log = next.log();
     assert!(!log.contains("beside this one") && !log.contains("successor"), "{log}");
 }
+
+#[test]
+fn a_server_that_is_put_back_is_cold_for_the_next_process_too() {
+    let site = Site::new("cold");
+    let mut node = site.process(None);
+    assert!(node.call("disable-server s-1").starts_with("done"));
+    // It is restarted meanwhile, and discovery is late to say so.
+    assert!(node.call("enable-server s-1").starts_with("done in service again, cold"));
+    node.kill();
+    let next = site.process(None);
+    let share = site.shares(&next)[1];
+    assert!(share <= 10, "{share} of 60 requests went to a cold server");
+}
