Keep what was inherited of servers that the starting list does not name

A process takes over what the one before knew before it has heard of discovery. Of servers that its starting list, which may be old, does not name it dropped all of it: since when they are cold, that they are congested, their caps. Named by discovery a moment later they counted as warm (16 to 20 of 60 requests, a warm one's share).

It is kept until a list names them, for the cold time at most.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -337,6 +337,9 @@
     /// Until when the operators have backends out of service: for good, or the moment they put one back, kept
     /// while it is cold.
     disabled: BTreeMap<BackendId, f64>,
+    /// What the process before this one knew of backends that the list has not named yet, and when it told that.
+    inherited: Vec<Memory>,
+    inherited_at: f64,
     places: Vec<Place>,
     open: HashMap<RequestId, Open>,
     learned: Vec<Learned>,
@@ -379,6 +382,8 @@
             rng: fastrand::Rng::with_seed(seed),
             backends: Vec::new(),
             disabled: BTreeMap::new(),
+            inherited: Vec::new(),
+            inherited_at: 0.0,
             places: Vec::new(),
             open: HashMap::new(),
             learned: vec![Learned::default(); classes],
@@ -543,6 +548,7 @@
             b.units = if e.units.is_finite() && e.units > 0.0 { e.units } else { 1.0 };
             b.listed = e.health == Health::Up;
         }
+        self.recall_inherited(now);
         self.backends.retain(|b| b.listed || b.in_flight > 0);
         self.place(now);
     }
@@ -576,10 +582,25 @@
         self.backends.iter().map(told).collect()
     }
 
-    /// Takes over what the process before this one knew of the backends that the list names.
+    /// Takes over what the process before this one knew. The list that this one starts with may be older: what it does
+    /// not name yet is kept until a later one does.
     fn on_inherit(&mut self, now: f64, memory: &[Memory]) {
-        for m in memory {
-            let Some(i) = self.find(m.backend) else { continue };
+        (self.inherited, self.inherited_at) = (memory.to_vec(), now);
+        self.recall_inherited(now);
+        self.place(now);
+    }
+
+    /// Applies what was inherited to the backends that are listed by now.
+    fn recall_inherited(&mut self, now: f64) {
+        if now - self.inherited_at > self.s.cold_ms {
+            // None of them is cold any more, and the rest is learned anew.
+            self.inherited.clear();
+        }
+        for m in std::mem::take(&mut self.inherited) {
+            let Some(i) = self.find(m.backend) else {
+                self.inherited.push(m);
+                continue;
+            };
             let b = &mut self.backends[i];
             b.cold_since = m.cold_since_ms.map_or(b.cold_since, |since| since.max(b.cold_since));
             (b.record.congested, b.record.prat) = (m.prat_ms.is_some(), m.prat_ms.unwrap_or(0.0));
@@ -587,15 +608,15 @@
             if m.cap > 0.0 && m.cap < b.cap.limit {
                 (b.cap.limit, b.cap.cut_at) = (m.cap, now);
             }
-            b.served = m.served.max(0.0);
+            b.served = m.served.max(0.0) * (-(now - self.inherited_at) / 1000.0).exp();
         }
-        self.place(now);
     }
 
     /// Each of two processes has half of what one was seen to be served, by which the cold budget goes;
     /// within a second it shows who serves how much.
     fn on_beside(&mut self) {
         self.warm_rate /= 2.0;
+        self.inherited.iter_mut().for_each(|m| m.served /= 2.0);
         self.backends.iter_mut().for_each(|b| b.served /= 2.0);
     }
 
