Write the state as soon as a server is put back into service

Since when a server is cold was written each second. A process killed within that second of `enable-server` left the next one a server that counts as warm, where discovery is late to tell of its restart. Written before the answer now.

--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -182,6 +182,14 @@
         }
     }
 
+    /// The same, unless the file is for a process that has taken over to write.
+    fn write_state_if_serving(&self, driver: &Driver) {
+        let state = self.read_state().ok().flatten();
+        if !state.is_some_and(|state| self.is_successor(state.process)) {
+            self.write_state(driver);
+        }
+    }
+
     /// Takes over what the process before this one left, and declares this one the serving one. True if that
     /// process knew a newer list than the one given here.
     pub fn take_over(&self, driver: &Rc<Driver>) -> bool {
@@ -271,6 +279,8 @@
         self.call_number.set(number);
         if changes {
             driver.take(if disable { Input::Disable(server) } else { Input::Enable(server) });
+            // It is cold from now on, which the next process has to know, however soon it follows.
+            self.write_state_if_serving(driver);
         }
         Ok(changes)
     }
@@ -354,9 +364,8 @@
             let state = self.read_state().ok().flatten();
             self.meet(state.as_ref().map_or(self.own, |state| state.process), &driver);
             self.compare_calls(&driver);
-            let due = turn % WRITE_EVERY == 0 || !self.declared.get();
-            if due && !state.is_some_and(|state| self.is_successor(state.process)) {
-                self.write_state(&driver);
+            if turn % WRITE_EVERY == 0 || !self.declared.get() {
+                self.write_state_if_serving(&driver);
             }
         }
     }
