Compare the clocks also while system calls fail

The datagram by which the system's clock is read was not sent (EINTR), and the wait of the request was taken for none. The send is made again, the whole is tried four times, and failing that the process's own clock is used.

--- a/src/node/arrival.rs
+++ b/src/node/arrival.rs
@@ -6,15 +6,18 @@
 //! The system notes the time by its wall clock. That may be stepped, and may not be the one that this process is shown, so
 //! the two are compared by a datagram of this process to itself, and no wait is held to be longer than the queue allows.
 
+use crate::system::interrupted;
 use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt, sockopt};
 use std::io::{self, IoSliceMut};
 use std::net::{Ipv4Addr, UdpSocket};
 use std::os::fd::{AsFd, AsRawFd};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 
 /// A shorter wait is that of any connection, and of this loop.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
+/// The system may have no socket for it for a moment.
+const TRIES: u32 = 4;
 /// How long the datagram is waited for, which goes through memory alone.
 const OWN_DATAGRAM: Duration = Duration::from_millis(5);
 
@@ -31,18 +34,29 @@
         return None;
     }
     let came = noted_time(stream, MsgFlags::MSG_PEEK)?;
-    let waited = system_now().ok().flatten()?.checked_sub(came)?;
+    let waited = now_as_noted()?.checked_sub(came)?;
     let waited = at_most.map_or(waited, |most| waited.min(most));
     if waited < LEAST_WAIT { None } else { Instant::now().checked_sub(waited) }
 }
 
-/// The clock that the system notes times by, since 1970.
-fn system_now() -> io::Result<Option<Duration>> {
+/// Now by the clock that the system notes times by, since 1970. Where the system does not say, for lack of a socket, the
+/// clock that this process is shown is nearly always the same.
+fn now_as_noted() -> Option<Duration> {
+    let noted = (0..TRIES).find_map(|_| own_datagram().ok().flatten());
+    noted.or_else(|| SystemTime::now().duration_since(UNIX_EPOCH).ok())
+}
+
+/// When a datagram of this process to itself came.
+fn own_datagram() -> io::Result<Option<Duration>> {
     let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
     setsockopt(&socket, sockopt::ReceiveTimestampns, &true)?;
     socket.set_read_timeout(Some(OWN_DATAGRAM))?;
     socket.connect(socket.local_addr()?)?;
-    socket.send(&[0])?;
+    while let Err(error) = socket.send(&[0]) {
+        if !interrupted(&error) {
+            return Err(error);
+        }
+    }
     Ok(noted_time(&socket, MsgFlags::empty()))
 }
 
--- a/tests/node_waiting.rs
+++ b/tests/node_waiting.rs
@@ -15,13 +15,13 @@
 
 #[test]
 fn a_request_that_waited_for_the_process_is_given_only_the_time_that_is_left() {
-    for step_ms in [0, 3_600_000, -3_600_000] {
-        waits_for_the_process(step_ms);
+    for (step_ms, one_in) in [(0, 0), (3_600_000, 0), (-3_600_000, 0), (0, 2), (0, 2)] {
+        waits_for_the_process(step_ms, one_in);
     }
 }
 
-/// Two requests come while no process runs; by the next one the wall clock has been stepped.
-fn waits_for_the_process(step_ms: i64) {
+/// Two requests come while no process runs; by the next one the wall clock has been stepped, and system calls fail.
+fn waits_for_the_process(step_ms: i64, one_in: i64) {
     let record = Record::default();
     let told: Arc<Mutex<Vec<(u64, Instant)>>> = Arc::default();
     let seen = told.clone();
@@ -57,6 +57,8 @@
     std::thread::sleep(Duration::from_millis(800));
     let faults = Faults::new(1);
     faults.set(Fault::WallOffsetMs, step_ms);
+    faults.set(Fault::InterruptedIo, one_in);
+    faults.set(Fault::SocketFails, one_in);
     let _next = Node::inherit_with(discovery.address, &socket, &folder, console, |c| faults.preload(c));
     let status =
         |stream: &mut TcpStream| Message::read(&mut std::io::BufReader::new(stream)).unwrap().status();
