Keep two whole copies of the calls, and read a configuration again that is not whole

A file of calls that is cut on the disk took the last call with it: the copy beside it was the one before, and there was none after the first call ever. What is synced is now written twice, each in one step.

The same class on the way in: a configuration that cannot be read at the moment of SIGHUP, or is half written, was given up at once, and discovery stays where it was. It is read again for 0.16 s.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -22,7 +22,7 @@
 mod trace;
 mod upstream;
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::console::Console;
 use crate::discovery::{Listing, Watch};
 use crate::driver::{Driver, Input};
@@ -71,12 +71,28 @@
     socket.listen(BACKLOG)
 }
 
+/// A file that cannot be read, or is not whole, may be so in a moment: so often, and so far apart.
+const READ_TRIES: u32 = 5;
+const READ_PAUSE: Duration = Duration::from_millis(40);
+
+async fn read_again() -> Result<Config, ConfigError> {
+    let mut read = Config::reload();
+    for _ in 1..READ_TRIES {
+        if read.is_ok() {
+            break;
+        }
+        tokio::time::sleep(READ_PAUSE).await;
+        read = Config::reload();
+    }
+    read
+}
+
 /// Reads the configuration again whenever told to. Where discovery is may change under way; all else holds
 /// from start to end. A file that is wrong changes nothing.
 async fn reload(mut hangup: Signals, discovery: watch::Sender<SocketAddr>) {
     loop {
         hangup.recv().await;
-        match Config::reload() {
+        match read_again().await {
             Ok(config) => {
                 log::line(&format!("configuration read again: discovery is at {}", config.discovery));
                 discovery.send_replace(config.discovery);
--- a/src/node/state_file.rs
+++ b/src/node/state_file.rs
@@ -85,9 +85,31 @@
     }
 
     /// Replaces it. Where that fails, what stood there before is still read.
+    ///
+    /// What is synced has two whole copies in the end; of the rest, the last good one is put aside.
     pub fn write(&self, body: &str, durability: Durability) -> io::Result<()> {
+        match durability {
+            Durability::Visible => {
+                // Only a whole one may take the place of the last good one.
+                if matches!(read_checked(&self.path()), Ok(Some(_))) {
+                    std::fs::rename(self.path(), self.last_good())?;
+                }
+                self.replace(&self.path(), body, durability)
+            }
+            Durability::Synced => {
+                self.replace(&self.path(), body, durability)?;
+                // It is there for good already; this is for a disk that spoils it later.
+                let _ = self.replace(&self.last_good(), body, durability);
+                Ok(())
+            }
+        }
+    }
+
+    /// Replaces one file in one step.
+    fn replace(&self, path: &Path, body: &str, durability: Durability) -> io::Result<()> {
         let draft = self.draft();
-        let written = self.write_draft(&draft, body, durability).and_then(|()| self.put_in_place(&draft));
+        let written =
+            self.write_draft(&draft, body, durability).and_then(|()| std::fs::rename(&draft, path));
         if written.is_err() {
             // It may not be there, and the next one replaces it.
             let _ = std::fs::remove_file(&draft);
@@ -109,14 +131,6 @@
         }
     }
 
-    fn put_in_place(&self, draft: &Path) -> io::Result<()> {
-        // Only a whole one may take the place of the last good one.
-        if matches!(read_checked(&self.path()), Ok(Some(_))) {
-            std::fs::rename(self.path(), self.last_good())?;
-        }
-        std::fs::rename(draft, self.path())
-    }
-
     /// Removes what processes that have ended left half done.
     pub fn remove_leftovers(&self) {
         let Ok(entries) = std::fs::read_dir(&self.folder) else { return };
