--- a/src/balance.rs
+++ b/src/balance.rs
@@ -582,8 +582,8 @@
         self.backends.iter().map(told).collect()
     }
 
-    /// Takes over what the process before this one knew. The list that this one starts with may be older: what it does
-    /// not name yet is kept until a later one does.
+    /// Takes over what the process before this one knew. The list that this one starts with may be older:
+    /// what it does not name yet is kept until a later one does.
     fn on_inherit(&mut self, now: f64, memory: &[Memory]) {
         (self.inherited, self.inherited_at) = (memory.to_vec(), now);
         self.recall_inherited(now);
@@ -684,8 +684,8 @@
         let spread = if self.many() { 2.0 } else { 18_f64.sqrt() };
         let root = ((spread * spread + 4.0 * budget).sqrt() - spread) / 2.0;
         let proven = if self.many() { 0.0 } else { PROVEN * self.backends[index].served };
-        // Before any warm one was seen at work nothing is known of what they can do, and there may be none: the least
-        // that is allowed whatever they can do is sent, lest nothing is served until the first is warm.
+        // Before any warm one was seen at work nothing is known of what they can do, and there may be none:
+        // the least that is allowed whatever they can do is sent, lest nothing is served until one is warm.
         let unknown = if self.warm_rate > 0.0 { 0.0 } else { ALWAYS_ALLOWED / seconds / all };
         (root * root / seconds / all).min(part * self.warm_rate).max(proven).max(unknown)
     }
