--- a/src/balance.rs
+++ b/src/balance.rs
@@ -337,7 +337,7 @@
     /// Until when the operators have backends out of service: for good, or the moment they put one back, kept
     /// while it is cold.
     disabled: BTreeMap<BackendId, f64>,
-    /// What the process before this one knew of backends that the list has not named yet, and when it told that.
+    /// What the process before this one knew of backends that the list has not named yet, and when.
     inherited: Vec<Memory>,
     inherited_at: f64,
     places: Vec<Place>,
