--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -21,6 +21,10 @@
 pub const TOLD_AT_LATEST: f64 = 6.0;
 /// The longest wait of a call.
 const LONGEST_WAIT: u64 = 60_000;
+/// The first version, and by how much the count falls where it begins anew. It never reaches what it was before: a node
+/// that slept through the fall would then be told of changes since another list, and nobody could see that.
+const FIRST_VERSION: u64 = 1_000_000;
+const COUNT_STEP: u64 = 1000;
 /// Changes that are told one by one; who is further behind gets the whole list.
 const CHANGES_KEPT: usize = 40;
 
@@ -61,6 +65,8 @@
     /// What is taken from it for the count that nodes are told, and the version at which that count began.
     count_from: u64,
     count_began: u64,
+    /// How often the count has begun anew.
+    counts: u64,
     manner: Manner,
     /// When it was last down or silent.
     unreachable_until: f64,
@@ -99,10 +105,10 @@
             boot_ms: 0,
             version: 1,
         });
-        let list = List { lines: lines.collect(), version: 100, count_from: 0, ..List::default() };
+        let list = List { lines: lines.collect(), version: FIRST_VERSION, ..List::default() };
         let discovery = Arc::new(Discovery {
             list: Mutex::new(list),
-            changed: watch::Sender::new(100),
+            changed: watch::Sender::new(FIRST_VERSION),
             outages: watch::Sender::new(0),
             moved: nodes.iter().map(|_| watch::Sender::new(0)).collect(),
             membership,
@@ -172,7 +178,8 @@
         let mut list = self.list.lock().unwrap();
         list.version += 1;
         list.count_began = list.version;
-        list.count_from = list.version - 1 - fastrand::u64(..10);
+        list.counts += 1;
+        list.count_from = list.version - (FIRST_VERSION - COUNT_STEP * list.counts);
         let version = list.version;
         drop(list);
         self.changed.send_replace(version);
--- a/soak/src/node.rs
+++ b/soak/src/node.rs
@@ -207,7 +207,9 @@
 
     /// Notes a process that has ended though nobody told it to.
     pub async fn check(&self) {
-        if self.busy.try_lock().is_ok() && self.process.lock().await.is_some() && !self.runs().await {
+        // Held for as long as this looks: nobody else may end the process meanwhile.
+        let Ok(_busy) = self.busy.try_lock() else { return };
+        if self.process.lock().await.is_some() && !self.runs().await {
             self.broke(Rule::Process, "ended by itself");
             self.start().await;
         }
