Tell in a request's trace how much of a long body was handed on

The trace could not tell why an attempt counted as one that never ran. The end of an attempt now names the bytes of a streamed body that were handed on and its announced length.

--- a/src/node/driver/request_table.rs
+++ b/src/node/driver/request_table.rs
@@ -107,7 +107,7 @@
         if handle.is_none() {
             return false;
         }
-        self.trace.record_ended(attempt, outcome);
+        self.trace.record_ended(attempt, outcome, self.proxied.body_progress());
         if let Some(record) = self.attempts.get_mut(attempt as usize) {
             record.outcome = Some(outcome);
         }
--- a/src/node/observability/request_trace.rs
+++ b/src/node/observability/request_trace.rs
@@ -67,12 +67,30 @@
     }
 }
 
+/// How much of a request's streamed body has been handed on to endpoints.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyProgress {
+    /// The bytes of the body handed on so far.
+    pub forwarded_bytes: u64,
+    /// The announced length of the complete body. `None` if the body is sent in chunks.
+    pub length: Option<u64>,
+}
+
+impl Display for BodyProgress {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self.length {
+            Some(length) => write!(f, "{} of {length} body bytes", self.forwarded_bytes),
+            None => write!(f, "{} body bytes in chunks", self.forwarded_bytes),
+        }
+    }
+}
+
 /// An event in the course of a request.
 #[derive(Clone, Copy, Debug)]
 enum TraceEvent {
     AttemptRequested { attempt: u32, endpoint: EndpointId },
     Withheld(WithheldReason),
-    Ended { attempt: u32, outcome: AttemptOutcome },
+    Ended { attempt: u32, outcome: AttemptOutcome, body: Option<BodyProgress> },
     Answered(RequestEnding),
 }
 
@@ -121,9 +139,10 @@
         self.record(TraceEvent::Withheld(reason));
     }
 
-    /// Records that an attempt ended.
-    pub fn record_ended(&mut self, attempt: u32, outcome: AttemptOutcome) {
-        self.record(TraceEvent::Ended { attempt, outcome });
+    /// Records that an attempt ended. `body` is the progress of a streamed request body, or `None` if the
+    /// body is buffered.
+    pub fn record_ended(&mut self, attempt: u32, outcome: AttemptOutcome, body: Option<BodyProgress>) {
+        self.record(TraceEvent::Ended { attempt, outcome, body });
     }
 
     /// Records that the request got its final answer, or ended without one.
@@ -147,7 +166,10 @@
                 write!(f, "attempt {attempt} to {:016x}", endpoint.0)
             }
             TraceEvent::Withheld(reason) => write!(f, "withheld {}", reason.name()),
-            TraceEvent::Ended { attempt, outcome } => write!(f, "attempt {attempt} {}", outcome.name()),
+            TraceEvent::Ended { attempt, outcome, body } => {
+                write!(f, "attempt {attempt} {}", outcome.name())?;
+                body.map_or(Ok(()), |body| write!(f, " after {body}"))
+            }
             TraceEvent::Answered(ending) => match ending {
                 RequestEnding::Rejected(reason) | RequestEnding::Failed(reason) => {
                     write!(f, "{} {}", ending.name(), reason.name())
--- a/src/node/upstream/request_body.rs
+++ b/src/node/upstream/request_body.rs
@@ -6,6 +6,7 @@
 
 use super::{BodyError, MAX_BODY_BYTES, poll_buffered};
 use crate::headers;
+use crate::observability::request_trace::BodyProgress;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -68,6 +69,12 @@
         self.streamed_body().is_none_or(|body| !body.has_read_rest.get() && !body.has_failed.get())
     }
 
+    /// Returns how much of a streamed body has been handed on. Returns `None` for a buffered body.
+    pub fn body_progress(&self) -> Option<BodyProgress> {
+        let body = self.streamed_body()?;
+        Some(BodyProgress { forwarded_bytes: body.forwarded_bytes.get(), length: body.length })
+    }
+
     /// Waits until the last byte of a streamed body has been forwarded, and returns that time.
     /// Returns `None` at once for a buffered body.
     pub async fn wait_until_body_complete(&self) -> Option<Instant> {
