Count the first part of a streamed request body once, not once an attempt

Cause: StreamedRequestBody added up what hyper took over all attempts. The first part is kept and sent by each attempt, so after a server had turned the first one away the sum passed by the announced length, the end of the body was never recorded, and a reset or a time-out after the last byte counted as proof that nothing ran. Evidence: the trace of the case before, 'attempt 1 not-connected after 306340 of 200000 body bytes', and after, 'attempt 1 reset after 200000 of 200000 body bytes ... failed may-have-run'. Change: the first part counts from the start and once; only bytes of the rest are added, and one attempt alone reads them.

--- a/src/node/upstream/request_body.rs
+++ b/src/node/upstream/request_body.rs
@@ -72,7 +72,7 @@
     /// Returns how much of a streamed body has been handed on. Returns `None` for a buffered body.
     pub fn body_progress(&self) -> Option<BodyProgress> {
         let body = self.streamed_body()?;
-        Some(BodyProgress { forwarded_bytes: body.forwarded_bytes.get(), length: body.length })
+        Some(BodyProgress { forwarded_bytes: body.forwarded_bytes(), length: body.length })
     }
 
     /// Waits until the last byte of a streamed body has been forwarded, and returns that time.
@@ -154,7 +154,9 @@
     /// The announced length of the complete body. `None` if the body is sent in chunks.
     length: Option<u64>,
     minimum_rate: MinimumRate,
-    forwarded_bytes: Cell<u64>,
+    /// The number of bytes of `rest` that have been forwarded. Several attempts may send `prefix`, but each byte
+    /// of `rest` is forwarded once.
+    rest_forwarded_bytes: Cell<u64>,
     last_forwarded_at: Cell<Instant>,
     /// Whether the node has begun to read `rest`. From then on the request cannot be sent again.
     has_read_rest: Cell<bool>,
@@ -179,7 +181,7 @@
             rest: RefCell::new(rest),
             length,
             minimum_rate,
-            forwarded_bytes: Cell::new(0),
+            rest_forwarded_bytes: Cell::new(0),
             last_forwarded_at: Cell::new(Instant::now()),
             has_read_rest: Cell::new(false),
             has_failed: Cell::new(false),
@@ -193,10 +195,21 @@
         self.has_failed.get()
     }
 
-    fn record_forwarded(&self, bytes: usize) {
-        self.forwarded_bytes.set(self.forwarded_bytes.get() + bytes as u64);
+    /// Returns the number of bytes up to which the body has been forwarded. The prefix counts from the start,
+    /// and once: each attempt sends it before it reads the rest.
+    fn forwarded_bytes(&self) -> u64 {
+        self.prefix.len() as u64 + self.rest_forwarded_bytes.get()
+    }
+
+    /// Records that an attempt sends the prefix. The body does not end with it.
+    fn record_prefix_forwarded(&self) {
+        self.last_forwarded_at.set(Instant::now());
+    }
+
+    fn record_rest_forwarded(&self, bytes: usize) {
+        self.rest_forwarded_bytes.set(self.rest_forwarded_bytes.get() + bytes as u64);
         self.last_forwarded_at.set(Instant::now());
-        if Some(self.forwarded_bytes.get()) == self.length {
+        if Some(self.forwarded_bytes()) == self.length {
             self.record_completed();
         }
     }
@@ -220,8 +233,7 @@
     /// because the endpoint accepts too little. Never returns once the body is complete.
     async fn wait_until_stalled(&self) {
         while self.completed_at.get().is_none() {
-            let deadline =
-                self.minimum_rate.deadline(self.forwarded_bytes.get(), self.last_forwarded_at.get());
+            let deadline = self.minimum_rate.deadline(self.forwarded_bytes(), self.last_forwarded_at.get());
             if deadline <= Instant::now() {
                 return;
             }
@@ -244,11 +256,11 @@
                 Some(Ok(frame)) => match frame.into_data() {
                     // Trailers are not forwarded: they concern only the client's connection.
                     Err(_) => continue,
-                    Ok(data) if self.forwarded_bytes.get() + data.len() as u64 > MAX_BODY_BYTES as u64 => {
+                    Ok(data) if self.forwarded_bytes() + data.len() as u64 > MAX_BODY_BYTES as u64 => {
                         BodyError::TooLong
                     }
                     Ok(data) => {
-                        self.record_forwarded(data.len());
+                        self.record_rest_forwarded(data.len());
                         return Poll::Ready(Some(Ok(data)));
                     }
                 },
@@ -287,7 +299,7 @@
             UpstreamBody::Streamed(body, prefix) => (body, prefix),
         };
         if let Some(prefix) = prefix.take() {
-            body.record_forwarded(prefix.len());
+            body.record_prefix_forwarded();
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         body.poll_rest(cx).map(|next| next.map(|data| data.map(Frame::data)))
--- /dev/null
+++ b/tests/node/long_bodies.rs
@@ -0,0 +1,105 @@
+//! Stands in for endpoints and clients whose long bodies a test reads and writes byte by byte.
+
+use super::sockets::loopback;
+use socket2::{Domain, Socket, Type};
+use std::io::BufRead;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+/// The receive buffer of an endpoint's connection that takes little before it is read. The system doubles the value.
+const SMALL_RECEIVE_BUFFER_BYTES: usize = 4096;
+/// The payload of a segment on Ethernet.
+const ETHERNET_SEGMENT_BYTES: u32 = 1460;
+
+/// Returns a body whose bytes depend on their position, so that a missing or moved byte is detected.
+pub fn patterned_body(length: usize) -> Vec<u8> {
+    (0..length).map(|n| (n % 251) as u8).collect()
+}
+
+/// Starts an endpoint that passes each accepted connection to `serve`, with the number of the connection, from 0.
+pub fn start_raw_endpoint(serve: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    serve_raw(TcpListener::bind(loopback(0)).unwrap(), serve)
+}
+
+/// Starts an endpoint whose connections take little of a body before the endpoint reads it: they have a small receive
+/// buffer and segments of Ethernet's size. With the segments of loopback, the system takes a whole 64 KiB at once.
+pub fn start_raw_endpoint_with_small_buffers(
+    serve: impl Fn(usize, TcpStream) + Send + Sync + 'static,
+) -> SocketAddr {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES).unwrap();
+    socket.set_tcp_mss(ETHERNET_SEGMENT_BYTES).unwrap();
+    socket.bind(&loopback(0).into()).unwrap();
+    socket.listen(128).unwrap();
+    serve_raw(socket.into(), serve)
+}
+
+/// Passes each connection that `listener` accepts to `serve`, and returns the address of the listener.
+fn serve_raw(
+    listener: TcpListener,
+    serve: impl Fn(usize, TcpStream) + Send + Sync + 'static,
+) -> SocketAddr {
+    let address = listener.local_addr().unwrap();
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for (n, stream) in listener.incoming().enumerate() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(n, stream.unwrap()));
+        }
+    });
+    address
+}
+
+/// Reads the head of a message, including the empty line that ends it, and returns it in lower case. Returns `None` if
+/// the stream ends or fails first.
+pub fn read_head(reader: &mut impl BufRead) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head.to_ascii_lowercase())
+}
+
+/// Reads a chunked body without trailers. Returns `None` if the stream ends before the body does, or if a chunk size is
+/// not valid.
+pub fn read_chunked_body(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let length = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
+        let mut chunk = vec![0; length + 2];
+        reader.read_exact(&mut chunk).ok()?;
+        if length == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..length]);
+    }
+}
+
+/// Encodes a body in chunks of up to `chunk_bytes` bytes, with chunk extensions and a trailer.
+pub fn encode_chunked(body: &[u8], chunk_bytes: usize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for chunk in body.chunks(chunk_bytes) {
+        bytes.extend_from_slice(format!("{:x};some=extension\r\n", chunk.len()).as_bytes());
+        bytes.extend_from_slice(chunk);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\nX-Trailer: t\r\n\r\n");
+    bytes
+}
+
+/// Returns the head of a POST request of class `pay`, with an id and an idempotency key of its own. Its client waits
+/// for 900 ms. Each line of `headers` ends with CRLF.
+pub fn post_head(headers: &str) -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let n = NEXT.fetch_add(1, Ordering::SeqCst);
+    format!(
+        "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: u{n}\r\nX-Qos: pay\r\nIdempotency-Key: k{n}\r\n\
+         X-Expires-In-Ms: 900\r\n{headers}\r\n"
+    )
+}
--- a/tests/node_streaming.rs
+++ b/tests/node_streaming.rs
@@ -5,8 +5,8 @@
 
 use node::*;
 use socket2::{Domain, Socket, Type};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
@@ -15,37 +15,6 @@
 /// The length of a body that is far longer than the buffers of the node and of the sockets on the path.
 const STREAMED_BODY_BYTES: usize = 24 * 1024 * 1024;
 
-/// Returns a body whose bytes depend on their position, so that a missing or moved byte is detected.
-fn patterned_body(length: usize) -> Vec<u8> {
-    (0..length).map(|n| (n % 251) as u8).collect()
-}
-
-/// Starts an endpoint that passes each accepted connection to `serve`, with the number of the connection, from 0.
-fn start_raw_endpoint(serve: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind(loopback(0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    let serve = Arc::new(serve);
-    thread::spawn(move || {
-        for (n, stream) in listener.incoming().enumerate() {
-            let serve = serve.clone();
-            thread::spawn(move || serve(n, stream.unwrap()));
-        }
-    });
-    address
-}
-
-/// Reads the head of a message, including the empty line that ends it, and returns it in lower case. Returns `None` if
-/// the stream ends or fails first.
-fn read_head(reader: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head.to_ascii_lowercase())
-}
-
 /// Starts a node with a memory limit of 48 MiB, which three buffered long bodies would exceed.
 fn start_node(addresses: &[SocketAddr]) -> Node {
     let discovery = DiscoveryStub::start(all_up(addresses));
@@ -63,35 +32,6 @@
     (reader, head)
 }
 
-/// Reads a chunked body without trailers. Returns `None` if the stream ends before the body does, or if a chunk size is
-/// not valid.
-fn read_chunked_body(reader: &mut impl BufRead) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
-        let length = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
-        let mut chunk = vec![0; length + 2];
-        reader.read_exact(&mut chunk).ok()?;
-        if length == 0 {
-            return Some(body);
-        }
-        body.extend_from_slice(&chunk[..length]);
-    }
-}
-
-/// Encodes a body in chunks of up to `chunk_bytes` bytes, with chunk extensions and a trailer.
-fn encode_chunked(body: &[u8], chunk_bytes: usize) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    for chunk in body.chunks(chunk_bytes) {
-        bytes.extend_from_slice(format!("{:x};some=extension\r\n", chunk.len()).as_bytes());
-        bytes.extend_from_slice(chunk);
-        bytes.extend_from_slice(b"\r\n");
-    }
-    bytes.extend_from_slice(b"0\r\nX-Trailer: t\r\n\r\n");
-    bytes
-}
-
 #[test]
 fn a_long_response_is_streamed_unchanged_in_each_framing() {
     for framing in ["length", "chunks", "close"] {
@@ -271,17 +211,6 @@
     })
 }
 
-/// Returns the head of a POST request of class `pay`, with an id and an idempotency key of its own. Its client waits
-/// for 900 ms. Each line of `headers` ends with CRLF.
-fn post_head(headers: &str) -> String {
-    static NEXT: AtomicUsize = AtomicUsize::new(0);
-    let n = NEXT.fetch_add(1, Ordering::SeqCst);
-    format!(
-        "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: u{n}\r\nX-Qos: pay\r\nIdempotency-Key: k{n}\r\n\
-         X-Expires-In-Ms: 900\r\n{headers}\r\n"
-    )
-}
-
 #[test]
 fn a_request_body_is_forwarded_unchanged_in_each_framing() {
     let received = ReceivedRequests::default();
