Count a client's connection as serving until its response is written

Cause: the connection counted as idle when hyper had taken the last bytes of the response, for a buffered one even before; up to 128 KB still waited in hyper's buffer. The idle time-out of 2.2 s closed the socket over them. Change: Socket records a write that had to wait, and the flush that hyper calls with an empty buffer ends it. State, idle time, eviction and the guard look at both. A client that reads nothing of the rest for 7 s is disconnected, and the limit of unsent bytes, which this needs, is set at the accept.

--- a/src/node/frontend/client_connection.rs
+++ b/src/node/frontend/client_connection.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 /// The time allowed for a complete request head, after which the connection is closed. The time counts from
-/// the first byte of the head. As long as no byte has arrived, it counts from the end of the last response
+/// the first byte of the head. As long as no byte has arrived, it counts from when the last response was written
 /// or, before the first request, from the accept.
 pub(super) const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
 /// The time allowed for the first complete request head, counted from the accept. A client that never sends
@@ -22,16 +22,19 @@
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2800);
 /// A client that reads nothing of a streamed response for this time is disconnected. While a slow client
 /// drains the system's send buffer, nothing can be written for a few seconds; the timeout must be longer.
-const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// The same for the end of a response, once the node has all of the response. It holds a descriptor for one
+/// client alone then, so the timeout is shorter.
+const WRITE_BACKLOG_STALL_TIMEOUT: Duration = Duration::from_secs(7);
 
 /// The state of a client's connection, which decides whether the connection may be closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionState {
     /// The client has not sent a complete request head yet.
     AwaitingFirstRequest,
-    /// A request has no response yet, or its streamed response is still being sent.
+    /// A request has no response yet, or its response has not been written completely.
     Serving,
-    /// All requests have been answered, and no byte of another one has arrived.
+    /// All responses have been written, and no byte of another request has arrived.
     Idle,
     /// Part of the head of a request other than the first has arrived.
     ReadingRequest,
@@ -49,15 +52,17 @@
 /// A client's connection.
 pub(super) struct ClientConnection {
     pub socket: Socket,
-    /// The number of requests whose responses have not ended. With pipelining there may be several.
-    pub requests_in_progress: Cell<u32>,
+    /// The number of requests whose responses have not been handed to hyper completely. With pipelining there
+    /// may be several. hyper may still have to write the end of a response: see
+    /// [`ClientConnection::is_serving`].
+    requests_in_progress: Cell<u32>,
     has_sent_request: Cell<bool>,
     /// When the first bytes of the first request arrived. `None` if the connection did not wait
     /// noticeably in the accept queue, or once the first request has taken the value.
     pub queued_since: Cell<Option<Instant>>,
-    /// When the connection was accepted or the last response ended.
-    pub idle_since: Cell<Instant>,
-    /// The number of bytes read from the socket at `idle_since`.
+    /// When the connection was accepted or the last response was handed to hyper completely.
+    response_ended_at: Cell<Instant>,
+    /// The number of bytes read from the socket at `response_ended_at`.
     bytes_read_when_idle: Cell<u64>,
     /// When [`ClientConnection::partial_request_seen_for`] was first called for the request head that is
     /// being read. It is called only if the node wants to close connections, for example because
@@ -85,7 +90,7 @@
             requests_in_progress: Cell::new(0),
             has_sent_request: Cell::new(false),
             queued_since: Cell::new(queued_since),
-            idle_since: Cell::new(Instant::now()),
+            response_ended_at: Cell::new(Instant::now()),
             bytes_read_when_idle: Cell::new(0),
             partial_request_seen_at: Cell::new(None),
             is_closing: Cell::new(false),
@@ -100,7 +105,7 @@
     pub fn state(&self) -> ConnectionState {
         if self.is_closing.get() {
             ConnectionState::Closing
-        } else if self.requests_in_progress.get() > 0 {
+        } else if self.is_serving() {
             ConnectionState::Serving
         } else if !self.has_sent_request.get() {
             ConnectionState::AwaitingFirstRequest
@@ -111,6 +116,20 @@
         }
     }
 
+    /// Returns whether a request has no response yet, or whether the end of a response has not been written.
+    ///
+    /// hyper drops the body of a response when it has taken the last bytes into its buffer. With a client that
+    /// reads slowly, it may take seconds until they are written.
+    pub fn is_serving(&self) -> bool {
+        self.requests_in_progress.get() > 0 || self.socket.has_write_backlog()
+    }
+
+    /// Returns when the connection was accepted or the last byte of the last response was written.
+    pub fn idle_since(&self) -> Instant {
+        let response_ended_at = self.response_ended_at.get();
+        self.socket.write_backlog_ended_at().map_or(response_ended_at, |at| at.max(response_ended_at))
+    }
+
     /// Returns whether the client has sent a complete request head on this connection.
     pub fn has_sent_request(&self) -> bool {
         self.has_sent_request.get()
@@ -127,9 +146,9 @@
         self.socket.bytes_read() != self.bytes_read_when_idle.get()
     }
 
-    /// Returns the time since the accept or the end of the last response.
+    /// Returns the time since the accept or since the last response was written.
     pub fn idle_for(&self) -> Duration {
-        self.idle_since.get().elapsed()
+        self.idle_since().elapsed()
     }
 
     /// Returns the time since this method was first called for the request head that is being read. The
@@ -142,9 +161,12 @@
 
     /// Returns when the next request head must be complete.
     pub fn head_deadline(&self) -> Instant {
-        let idle_since = self.idle_since.get();
+        let idle_since = self.idle_since();
         match self.socket.head_started_at() {
-            Some(begun_at) if self.has_sent_request.get() => begun_at + REQUEST_HEAD_TIMEOUT,
+            // A pipelined head may have begun before the response to the previous request was written.
+            Some(begun_at) if self.has_sent_request.get() => {
+                begun_at.max(idle_since) + REQUEST_HEAD_TIMEOUT
+            }
             Some(begun_at) => (begun_at + REQUEST_HEAD_TIMEOUT).min(idle_since + FIRST_REQUEST_TIMEOUT),
             None => idle_since + REQUEST_HEAD_TIMEOUT,
         }
@@ -152,14 +174,15 @@
 
     /// Returns whether no request is in progress and no complete request head has arrived in time.
     pub fn head_timeout_elapsed(&self) -> bool {
-        self.requests_in_progress.get() == 0 && self.head_deadline() <= Instant::now()
+        !self.is_serving() && self.head_deadline() <= Instant::now()
     }
 
-    /// Returns whether the client has read nothing of a streamed response for [`RESPONSE_STALL_TIMEOUT`].
-    /// Each call records the progress, with which the next call compares.
+    /// Returns whether the client has read nothing of a response for [`STREAM_STALL_TIMEOUT`], or
+    /// nothing of the end of one for [`WRITE_BACKLOG_STALL_TIMEOUT`]. Each call records the progress, with which the next call compares.
     pub fn response_stalled(&self) -> bool {
         let progress = self.write_progress.get();
-        if !self.is_streaming_response.get() || progress.written_bytes != self.socket.bytes_written() {
+        let is_being_written = self.is_streaming_response.get() || self.socket.has_write_backlog();
+        if !is_being_written || progress.written_bytes != self.socket.bytes_written() {
             let progress = WriteProgress {
                 written_bytes: self.socket.bytes_written(),
                 unchanged_since: Instant::now(),
@@ -167,7 +190,12 @@
             self.write_progress.set(progress);
             return false;
         }
-        progress.unchanged_since.elapsed() > RESPONSE_STALL_TIMEOUT
+        let timeout = if self.is_streaming_response.get() {
+            STREAM_STALL_TIMEOUT
+        } else {
+            WRITE_BACKLOG_STALL_TIMEOUT
+        };
+        progress.unchanged_since.elapsed() > timeout
     }
 
     /// Returns whether a chunked request also has a Content-Length header, which may be an attempt at
@@ -186,7 +214,8 @@
 }
 
 /// Keeps a connection in the state [`ConnectionState::Serving`] until dropped. The owner must drop it when a
-/// buffered response is complete, or at the end of a streamed response.
+/// buffered response is complete, or at the end of a streamed response. The connection stays in that state until
+/// the response has been written.
 pub(super) struct RequestInProgress(Rc<ClientConnection>);
 
 impl RequestInProgress {
@@ -207,7 +236,7 @@
         }
         client.is_streaming_response.set(false);
         client.socket.expect_head();
-        client.idle_since.set(Instant::now());
+        client.response_ended_at.set(Instant::now());
         client.bytes_read_when_idle.set(client.socket.bytes_read());
     }
 }
--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -60,7 +60,7 @@
     IdleTimeout,
     /// A request head was not completed in time.
     HeadTimeout,
-    /// The client has stopped reading a streamed response.
+    /// The client has stopped reading a response.
     ResponseStalled,
     /// The frontend asked for the close of a connection without a request in progress, to free a
     /// descriptor, or because the node is drained or stops.
@@ -82,7 +82,7 @@
     }
 
     /// Returns whether the node may close a connection for this reason only if no request is in progress on
-    /// it.
+    /// it and the last response has been written.
     fn requires_no_request(self) -> bool {
         matches!(self, CloseReason::IdleTimeout | CloseReason::HeadTimeout | CloseReason::Evicted)
     }
@@ -115,6 +115,7 @@
         queued_since: Option<Instant>,
     ) {
         let socket = Socket::new(stream, permit);
+        socket.limit_unsent_bytes();
         let client = Rc::new(ClientConnection::new(socket.clone(), queued_since));
         let number = self.next_client_number.get();
         self.next_client_number.set(number + 1);
@@ -130,7 +131,7 @@
     /// the node must not make while a request is in progress is recorded as a violation.
     async fn close(&self, client: &ClientConnection, reason: CloseReason) {
         self.driver.counters.count(CounterKind::Close, reason.name());
-        if reason.requires_no_request() && client.requests_in_progress.get() > 0 {
+        if reason.requires_no_request() && client.is_serving() {
             let id = client.last_trace_id.borrow();
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("?");
             let text = format!("{id} {}", reason.name());
@@ -169,8 +170,8 @@
                     // A request may have arrived since the close was requested.
                     _ if !client.may_close() => {}
                     ConnectionState::Idle => {
-                        // Part of the last response may not be written yet. hyper writes it and reads no
-                        // further request.
+                        // hyper ends the connection once it has nothing to write, and reads no further
+                        // request.
                         connection.as_mut().graceful_shutdown();
                         is_evicted = true;
                     }
@@ -186,7 +187,7 @@
     }
 
     /// Answers one request. The connection is in the state [`ConnectionState::Serving`] from this call until
-    /// a buffered response is complete, or until the end of a streamed response.
+    /// the response has been written.
     fn serve_request<'a>(
         &'a self,
         request: Request<Incoming>,
@@ -203,9 +204,6 @@
                 self.respond(request, client).await?
             };
             client.is_streaming_response.set(response.body().is_streamed());
-            if response.body().is_streamed() {
-                client.socket.limit_unsent_bytes();
-            }
             response.body_mut().hold_until_end(in_progress);
             Ok(response)
         }
--- a/src/node/frontend/eviction.rs
+++ b/src/node/frontend/eviction.rs
@@ -69,7 +69,7 @@
     /// Returns `None` if a request is in progress on the connection.
     fn new(client: &Rc<ClientConnection>) -> Option<Evictable<'_>> {
         let priority = client.state().eviction_priority()?;
-        Some(Evictable { priority, idle_since: client.idle_since.get(), client })
+        Some(Evictable { priority, idle_since: client.idle_since(), client })
     }
 }
 
--- a/src/node/observability/counters.rs
+++ b/src/node/observability/counters.rs
@@ -58,7 +58,7 @@
     RepeatAgainstIdempotency,
     /// A rejection of a request that may have run. A rejection tells the client that a retry is safe.
     RejectionAfterExecution,
-    /// The node closed a connection on which a client waits for an answer.
+    /// The node closed a connection on which a client waits for an answer or for the end of one.
     CloseUnanswered,
     /// The process ended with an unanswered request.
     EndUnanswered,
--- a/src/node/system/socket.rs
+++ b/src/node/system/socket.rs
@@ -13,14 +13,25 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Maximum number of unsent bytes of a streamed response in the system's send buffer. The slowest legitimate
+/// Maximum number of unsent bytes in the system's send buffer of a client's connection. The slowest legitimate
 /// clients receive 64 kB per second, so it takes them two seconds to receive this many bytes.
 const MAX_UNSENT_BYTES: u32 = 128 * 1024;
 
+/// Whether the owner of a socket holds bytes that the system has not taken yet.
+#[derive(Clone, Copy)]
+enum WriteBacklog {
+    /// The system has taken all bytes. The time is that of the last one that it did not take at once; `None`
+    /// if it has taken every byte at once.
+    Empty { since: Option<Instant> },
+    /// The system did not take all bytes, and the rest waits until the socket is writable.
+    Waiting,
+}
+
 struct Inner {
     stream: TcpStream,
     bytes_read: Cell<u64>,
     bytes_written: Cell<u64>,
+    backlog: Cell<WriteBacklog>,
     /// When the first byte of the current head was read; `None` if none of it has been read.
     head_started_at: Cell<Option<Instant>>,
     /// `None` until the first call of [`Socket::expect_head`]. On connections other than those of clients,
@@ -44,6 +55,7 @@
             stream,
             bytes_read: Cell::new(0),
             bytes_written: Cell::new(0),
+            backlog: Cell::new(WriteBacklog::Empty { since: None }),
             head_started_at: Cell::new(None),
             length_headers: Cell::new(None),
             _permit: permit,
@@ -61,6 +73,21 @@
         self.0.bytes_written.get()
     }
 
+    /// Returns whether the owner of the socket holds bytes that the system has not taken yet. They are lost if
+    /// the socket is closed now.
+    pub fn has_write_backlog(&self) -> bool {
+        matches!(self.0.backlog.get(), WriteBacklog::Waiting)
+    }
+
+    /// Returns since when there is no write backlog. Returns `None` if there was never one, or if there is one
+    /// now.
+    pub fn write_backlog_ended_at(&self) -> Option<Instant> {
+        match self.0.backlog.get() {
+            WriteBacklog::Empty { since } => since,
+            WriteBacklog::Waiting => None,
+        }
+    }
+
     /// Declares that the next byte that is read begins a request head.
     pub fn expect_head(&self) {
         self.0.head_started_at.set(None);
@@ -180,6 +207,18 @@
         &self,
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let written = self.poll_write_when_ready(cx, write);
+        if written.is_pending() {
+            self.0.backlog.set(WriteBacklog::Waiting);
+        }
+        written
+    }
+
+    fn poll_write_when_ready(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
@@ -213,7 +252,11 @@
         true
     }
 
+    /// The caller flushes only after it has written all its bytes, so this ends a write backlog.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.has_write_backlog() {
+            self.0.backlog.set(WriteBacklog::Empty { since: Some(Instant::now()) });
+        }
         Poll::Ready(Ok(()))
     }
 
