Count the time of a request with a long body from when its client had sent it

Cause: the times of the answer and of the attempt counted from the last byte that the node handed on. While the server took nothing, neither began, and only the rule for slow clients ended the request. Change: the time counts from when the client was last known to be sending, that is when bytes came that the node had been waiting for, or when more was missing than the buffers hold (upload_clock.rs). Attempt, answer, policy and guard use one estimate. Two tests of node_request_bodies failed before (2.00 s and 2.20 s, allowed 1.05 s); two guard slow clients and passed before.

--- a/src/node/driver/attempt.rs
+++ b/src/node/driver/attempt.rs
@@ -11,7 +11,7 @@
 use crate::observability::log;
 use crate::observability::request_trace::WithheldReason;
 use crate::system::clock::clamped_duration;
-use crate::upstream::{Attempt, AttemptEnd, AttemptResult, UpstreamConnection};
+use crate::upstream::{Attempt, AttemptEnd, AttemptResult, BodyCompletion, UpstreamConnection};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -44,7 +44,7 @@
     attempt: u32,
     endpoint: EndpointId,
     /// When the measured duration of the attempt starts: when it was decided on, or when the request's
-    /// body was complete if that was later.
+    /// body had been forwarded if that was later.
     timing_start: Instant,
     /// The result to report; `None` until it is known.
     result: Option<AttemptResult>,
@@ -195,9 +195,9 @@
         pin!(driver.upstream.send_attempt(attempt, || driver.check_before_send(id, attempt)));
     let body_complete = async {
         match attempt.proxied.wait_until_body_complete().await {
-            Some(completed_at) => {
-                driver.handle(DriverEvent::RequestBodyComplete(id));
-                completed_at
+            Some(BodyCompletion { sent_by_client_at, forwarded_at }) => {
+                driver.handle(DriverEvent::RequestBodyComplete { id, sent_by_client_at });
+                forwarded_at
             }
             None => std::future::pending().await,
         }
@@ -207,8 +207,8 @@
         tokio::select! {
             biased;
             _ = &mut *cancellation => return AttemptEnd::Complete(AttemptOutcome::Cancelled.into(), None),
-            completed_at = &mut body_complete, if reporter.timing_start == attempt.started_at => {
-                reporter.timing_start = completed_at;
+            forwarded_at = &mut body_complete, if reporter.timing_start == attempt.started_at => {
+                reporter.timing_start = forwarded_at;
             }
             end = &mut attempt_end => return end,
         }
--- a/src/node/driver/event.rs
+++ b/src/node/driver/event.rs
@@ -5,6 +5,7 @@
 use crate::observability::request_trace::RequestEnding;
 use crate::upstream::{AttemptResult, ProxiedRequest};
 use std::rc::Rc;
+use std::time::Instant;
 use wheelpath::policy::{EndpointId, EndpointSnapshot, Request, RequestId, WatchUpdate};
 
 /// The result of an attempt, or of a streamed response so far.
@@ -48,7 +49,12 @@
     /// ending.
     ClientWaitEnded(RequestId, RequestEnding),
     /// The last byte of a request's streamed body has been sent to the endpoint.
-    RequestBodyComplete(RequestId),
+    RequestBodyComplete {
+        /// Identity of the request.
+        id: RequestId,
+        /// Until when the client was sending the body.
+        sent_by_client_at: Instant,
+    },
     /// A streamed response has started.
     ResponseStarted(AttemptReport),
     /// An attempt has ended.
--- a/src/node/driver/mod.rs
+++ b/src/node/driver/mod.rs
@@ -100,7 +100,7 @@
 
     /// Submits a request to the balancer, and returns its pending answer. The balancer must end the
     /// request by `deadline`. If it does not, the node fails the request at `expires_at`. Both are postponed
-    /// for a streamed body, by the time from this call until the last byte of the body has been forwarded.
+    /// for a streamed body, by the time from this call until the client had sent the body.
     pub fn submit(
         self: &Rc<Self>,
         mut request: Request,
@@ -268,9 +268,10 @@
                 self.requests.respond(id, Answer::Failed, ending);
                 Event::ClientDisconnected(id)
             }
-            DriverEvent::RequestBodyComplete(id) => {
-                self.requests.get_mut(id)?.shift_times_to(clock.now_ms());
-                Event::RequestBodyComplete(id)
+            DriverEvent::RequestBodyComplete { id, sent_by_client_at } => {
+                let sent_at_ms = clock.at_ms(sent_by_client_at);
+                self.requests.get_mut(id)?.shift_times_to(sent_at_ms);
+                Event::RequestBodyComplete { id, sent_at_ms }
             }
             DriverEvent::ResponseStarted(report) => self.on_response_started(report)?,
             DriverEvent::AttemptEnded(report) => self.on_attempt_ended(report)?,
--- a/src/node/driver/pending_answer.rs
+++ b/src/node/driver/pending_answer.rs
@@ -50,7 +50,7 @@
     answer: oneshot::Receiver<Answer>,
     submitted_at: Instant,
     /// The time at which a request with a buffered body expires. A request with a streamed body expires
-    /// later: the time from `submitted_at` until the last byte of the body has been forwarded is added.
+    /// later: the time from `submitted_at` until the client had sent the body is added.
     expires_at: Instant,
     /// Whether the request expired before it had an answer.
     has_expired: bool,
@@ -72,13 +72,7 @@
     /// flight.
     pub async fn answer(mut self) -> Answer {
         let proxied = self.proxied.clone();
-        let expiry = async {
-            // For a request with a streamed body, the time until the expiry is counted from the end of the
-            // body. The duration of the upload is therefore added to `expires_at`.
-            let completed_at = proxied.wait_until_body_complete().await;
-            let delay = completed_at.map(|at| at.saturating_duration_since(self.submitted_at));
-            tokio::time::sleep_until((self.expires_at + delay.unwrap_or_default()).into()).await;
-        };
+        let expiry = proxied.wait_until_due(self.submitted_at, self.expires_at);
         tokio::select! {
             biased;
             answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
--- a/src/node/driver/request_table.rs
+++ b/src/node/driver/request_table.rs
@@ -26,7 +26,7 @@
     attempts: Vec<AttemptRecord>,
     /// Index of the request's class in the settings.
     class: usize,
-    /// When the request arrived, or its streamed body was complete, in milliseconds on the balancer's
+    /// When the request arrived, or the client had sent its streamed body, in milliseconds on the balancer's
     /// clock.
     arrived_at_ms: f64,
     /// When the client stops waiting, in milliseconds on the balancer's clock.
@@ -74,11 +74,11 @@
         }
     }
 
-    /// Moves the times of the request so that they count from `now_ms`, at which the last byte of its
-    /// body was sent.
-    pub fn shift_times_to(&mut self, now_ms: f64) {
-        let delay_ms = now_ms - self.arrived_at_ms;
-        self.arrived_at_ms = now_ms;
+    /// Moves the times of the request so that they count from `sent_at_ms`, when the client had sent its body.
+    /// Has no effect if that was before the request arrived.
+    pub fn shift_times_to(&mut self, sent_at_ms: f64) {
+        let delay_ms = (sent_at_ms - self.arrived_at_ms).max(0.0);
+        self.arrived_at_ms += delay_ms;
         self.deadline_ms += delay_ms;
         self.attempts.iter_mut().for_each(|attempt| attempt.sent_at_ms += delay_ms);
     }
--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -245,7 +245,7 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            match self.reader.read(arrival, head, body).await {
+            match self.reader.read(arrival, head, body, &client.socket).await {
                 Ok(parsed) => self.submit(parsed, &client.socket).await?,
                 Err(rejection) => {
                     self.count_rejection(rejection.text());
--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -7,6 +7,7 @@
 use super::trace_ids::{OpenTraceIds, TraceIdGuard};
 use crate::headers;
 use crate::system::clock::clamped_duration;
+use crate::system::socket::Socket;
 use crate::upstream::{
     MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MinimumRate, ProxiedRequest, RequestBody, StreamedRequestBody,
 };
@@ -104,6 +105,15 @@
     pub queued_since: Option<Instant>,
 }
 
+/// A body of which nothing has been read.
+struct IncomingBody {
+    body: Incoming,
+    /// The announced length. `None` if the body is sent in chunks.
+    length: Option<u64>,
+    /// When the head was complete. The minimum rate of the body counts from then.
+    started_at: Instant,
+}
+
 /// A complete body, or a streamed body of which the first part has been read.
 struct CollectedBody {
     body: RequestBody,
@@ -160,12 +170,13 @@
     }
 
     /// Reads and checks a request. Returns the rejection if the request is not valid, if its body does not
-    /// arrive, or if there is no memory for the body.
+    /// arrive, or if there is no memory for the body. `socket` is the client's.
     pub(super) async fn read(
         &self,
         arrival: ArrivalTime,
         head: Parts,
         body: Incoming,
+        socket: &Socket,
     ) -> Result<ParsedRequest, RequestRejection> {
         let trace_id = trace_id(&head)?;
         let class_index = self.names.class_index(header_text(&head, headers::CLASS).unwrap_or_default());
@@ -177,14 +188,14 @@
         if length.is_some_and(|length| length > MAX_BODY_BYTES as u64) {
             return Err(RequestRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
         }
-        let CollectedBody { body, memory } = self.collect(body, length, arrival.head_read_at).await?;
+        let incoming = IncomingBody { body, length, started_at: arrival.head_read_at };
+        let CollectedBody { body, memory } = self.collect(incoming, socket).await?;
         let is_empty = matches!(&body, RequestBody::Buffered(bytes) if bytes.is_empty());
         if class.idempotency == Idempotency::Idempotent && !is_empty {
             return Err(RequestRejection::malformed("a request that is safe to repeat has no body\n"));
         }
-        // The timeout counts from the last byte of the request, or from its arrival in the accept queue. The
-        // last byte of a streamed body arrives later, and the driver then postpones the deadline and the
-        // expiry accordingly.
+        // The timeout counts from the last byte of the request, or from its arrival in the accept queue. If
+        // the client is still sending a streamed body, the deadline and the expiry are postponed accordingly.
         let arrived_at = arrival.queued_since.unwrap_or_else(Instant::now);
         // The id is reserved only now, so that a client that withholds its body does not occupy it.
         let trace_id_guard = self.trace_ids.reserve(trace_id);
@@ -200,13 +211,13 @@
 
     /// Reads a complete body, or the first part of a body that is too long to be buffered. Memory is reserved
     /// for the bytes received, so that a client that announces a long body and sends nothing takes none from
-    /// others. The minimum rate of the body counts from `started_at`.
+    /// others.
     async fn collect(
         &self,
-        mut body: Incoming,
-        length: Option<u64>,
-        started_at: Instant,
+        incoming: IncomingBody,
+        socket: &Socket,
     ) -> Result<CollectedBody, BodyReadError> {
+        let IncomingBody { mut body, length, started_at } = incoming;
         let mut buffered = BytesMut::new();
         let mut memory: Option<OwnedSemaphorePermit> = None;
         let minimum_rate = MinimumRate::new(started_at);
@@ -229,7 +240,9 @@
             buffered.extend_from_slice(&data);
             let is_complete = length == Some(buffered.len() as u64);
             if buffered.len() > MAX_BUFFERED_BODY_BYTES && !is_complete {
-                let streamed = StreamedRequestBody::new(buffered.freeze(), body, length, minimum_rate);
+                let prefix = buffered.freeze();
+                let client_reads = socket.read_observer();
+                let streamed = StreamedRequestBody::new(prefix, body, length, minimum_rate, client_reads);
                 return Ok(CollectedBody { body: RequestBody::Streamed(streamed), memory });
             }
         }
--- a/src/node/system/socket.rs
+++ b/src/node/system/socket.rs
@@ -7,7 +7,7 @@
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::Shutdown;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -31,6 +31,10 @@
     stream: TcpStream,
     bytes_read: Cell<u64>,
     bytes_written: Cell<u64>,
+    /// Whether the last read found no bytes.
+    awaits_bytes: Cell<bool>,
+    /// When bytes were last read that the previous read had not found.
+    awaited_bytes_read_at: Cell<Option<Instant>>,
     backlog: Cell<WriteBacklog>,
     /// When the first byte of the current head was read; `None` if none of it has been read.
     head_started_at: Cell<Option<Instant>>,
@@ -55,6 +59,8 @@
             stream,
             bytes_read: Cell::new(0),
             bytes_written: Cell::new(0),
+            awaits_bytes: Cell::new(false),
+            awaited_bytes_read_at: Cell::new(None),
             backlog: Cell::new(WriteBacklog::Empty { since: None }),
             head_started_at: Cell::new(None),
             length_headers: Cell::new(None),
@@ -106,7 +112,15 @@
         self.0.length_headers.get().map_or(0, LengthHeaderCounter::count)
     }
 
+    /// Returns an observer of the reads, which does not keep the socket open.
+    pub fn read_observer(&self) -> ReadObserver {
+        ReadObserver(Rc::downgrade(&self.0))
+    }
+
     fn record_read(&self, bytes: &[u8]) {
+        if self.0.awaits_bytes.replace(false) {
+            self.0.awaited_bytes_read_at.set(Some(Instant::now()));
+        }
         self.0.bytes_read.set(self.0.bytes_read.get() + bytes.len() as u64);
         if !bytes.is_empty() && self.0.head_started_at.get().is_none() {
             self.0.head_started_at.set(Some(Instant::now()));
@@ -171,6 +185,30 @@
     }
 }
 
+/// Tells whether the owner of a socket waits for the peer's bytes, or the peer's bytes wait for the owner.
+pub struct ReadObserver(Weak<Inner>);
+
+impl ReadObserver {
+    /// Returns whether the last read found no bytes. Returns `false` if the socket is closed.
+    pub fn awaits_bytes(&self) -> bool {
+        self.0.upgrade().is_some_and(|inner| inner.awaits_bytes.get())
+    }
+
+    /// Returns when bytes were last read that the read before had not found, so that they had just arrived.
+    /// Returns `None` if there were none, or if the socket is closed.
+    pub fn awaited_bytes_read_at(&self) -> Option<Instant> {
+        self.0.upgrade()?.awaited_bytes_read_at.get()
+    }
+
+    /// Returns the size of the receive buffer, in bytes, which unread bytes cannot exceed. Returns `None` if the
+    /// socket is closed or the system does not tell.
+    pub fn receive_buffer_bytes(&self) -> Option<u64> {
+        let inner = self.0.upgrade()?;
+        let bytes = socket2::SockRef::from(&inner.stream).recv_buffer_size().ok()?;
+        u64::try_from(bytes).ok()
+    }
+}
+
 /// Returns [`Poll::Pending`] and wakes the task, so that it is polled again. Used when the system lacks
 /// buffers for the moment while the connection is intact.
 fn poll_again<T>(cx: &Context<'_>) -> Poll<T> {
@@ -185,7 +223,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
+            if self.0.stream.poll_read_ready(cx)?.is_pending() {
+                self.0.awaits_bytes.set(true);
+                return Poll::Pending;
+            }
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
                     buf.advance(n);
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -35,7 +35,7 @@
     /// The request to send. Several attempts may share it.
     pub proxied: Rc<ProxiedRequest>,
     /// The time at which the node stops waiting for the response. If the request's body is streamed, the
-    /// deadline moves by the time from `started_at` to the end of the body.
+    /// deadline moves by the time from `started_at` until the client had sent the body.
     pub deadline: Instant,
     /// The latest time at which the first byte of the request may be sent.
     pub send_by: Instant,
@@ -46,9 +46,7 @@
 impl Attempt {
     /// Waits until the deadline of the attempt has passed.
     async fn wait_until_overdue(&self) {
-        let complete_at = self.proxied.wait_until_body_complete().await;
-        let delay = complete_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(self.started_at));
-        tokio::time::sleep_until((self.deadline + delay).into()).await;
+        self.proxied.wait_until_due(self.started_at, self.deadline).await;
     }
 }
 
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! A request can be sent again only while its complete body is in memory. Bodies of up to
 //! [`MAX_BUFFERED_BODY_BYTES`] are therefore buffered. [`request_body`] and [`response_body`] stream longer
-//! bodies between client and endpoint.
+//! bodies between client and endpoint. [`upload_clock`] estimates when a client had sent a streamed body.
 
 mod attempt;
 mod connection;
@@ -14,11 +14,14 @@
 mod pool;
 mod request_body;
 mod response_body;
+mod upload_clock;
 
 pub use attempt::{Attempt, AttemptEnd, AttemptResult, UpstreamResponse};
 pub use connection::{ExchangeError, UpstreamConnection};
 pub use pool::Upstream;
-pub use request_body::{MinimumRate, ProxiedRequest, RequestBody, StreamedRequestBody, UpstreamBody};
+pub use request_body::{
+    BodyCompletion, MinimumRate, ProxiedRequest, RequestBody, StreamedRequestBody, UpstreamBody,
+};
 pub use response_body::ResponseBody;
 
 use bytes::Bytes;
--- a/src/node/upstream/request_body.rs
+++ b/src/node/upstream/request_body.rs
@@ -4,9 +4,11 @@
 //! the client sends it. Only its first part, the prefix, stays in memory, so the request can be sent again
 //! only until the node begins to forward the rest.
 
+use super::upload_clock::UploadClock;
 use super::{BodyError, MAX_BODY_BYTES, poll_buffered};
 use crate::headers;
 use crate::observability::request_trace::BodyProgress;
+use crate::system::socket::ReadObserver;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -26,6 +28,8 @@
 /// The grace period on top of the time that [`MIN_BYTES_PER_SECOND`] allows, and at the same time the longest
 /// pause between two chunks of a body.
 const RATE_GRACE: Duration = Duration::from_secs(2);
+/// The upper bound of the bytes that hyper has read from a client and not handed over: its buffer and one chunk.
+const READ_AHEAD_BYTES: u64 = 128 * 1024;
 
 /// A client's request as it is forwarded to endpoints, without headers that concern only the client's
 /// connection.
@@ -75,9 +79,27 @@
         Some(BodyProgress { forwarded_bytes: body.forwarded_bytes(), length: body.length })
     }
 
-    /// Waits until the last byte of a streamed body has been forwarded, and returns that time.
-    /// Returns `None` at once for a buffered body.
-    pub async fn wait_until_body_complete(&self) -> Option<Instant> {
+    /// Waits until `deadline`, which counts from `start`. With a streamed body it counts from when the client
+    /// had sent the body, if that is later, whether or not the body has been forwarded.
+    pub async fn wait_until_due(&self, start: Instant, deadline: Instant) {
+        loop {
+            let upload_time = self.sending_until().map(|until| until.saturating_duration_since(start));
+            let due_at = deadline + upload_time.unwrap_or_default();
+            if due_at <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(due_at.into()).await;
+        }
+    }
+
+    /// Returns until when the client was sending a streamed body. Returns `None` for a buffered body.
+    fn sending_until(&self) -> Option<Instant> {
+        self.streamed_body().map(|body| body.sending_until())
+    }
+
+    /// Waits until the last byte of a streamed body has been forwarded. Returns `None` at once for a buffered
+    /// body.
+    pub async fn wait_until_body_complete(&self) -> Option<BodyCompletion> {
         match self.streamed_body() {
             None => None,
             Some(body) => Some(body.wait_until_complete().await),
@@ -96,7 +118,7 @@
     /// Returns the streamed body until its last byte has been forwarded. Returns `None` after that, and for
     /// a buffered body.
     pub(super) fn incomplete_body(&self) -> Option<&StreamedRequestBody> {
-        self.streamed_body().filter(|body| body.completed_at.get().is_none()).map(Rc::as_ref)
+        self.streamed_body().filter(|body| body.completion.get().is_none()).map(Rc::as_ref)
     }
 
     /// Builds the request that is sent to the endpoint at `address`. `timeout` is the time that the
@@ -125,6 +147,16 @@
     }
 }
 
+/// The times at which a streamed body was complete.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyCompletion {
+    /// Until when the client was sending the body, as far as this machine can tell. It is not later than
+    /// `forwarded_at`.
+    pub sent_by_client_at: Instant,
+    /// When the last byte was forwarded.
+    pub forwarded_at: Instant,
+}
+
 /// The minimum rate of one request's body, measured from the start of that body.
 #[derive(Clone, Copy)]
 pub struct MinimumRate {
@@ -162,19 +194,26 @@
     has_read_rest: Cell<bool>,
     /// Whether the body ended early on the client's side, or is too long.
     has_failed: Cell<bool>,
-    /// The time at which the last byte was forwarded.
-    completed_at: Cell<Option<Instant>>,
+    /// The client's socket.
+    client_reads: ReadObserver,
+    upload_clock: RefCell<UploadClock>,
+    /// Whether an attempt waits for more of `rest`.
+    awaits_rest: Cell<bool>,
+    /// `None` until the last byte has been forwarded.
+    completion: Cell<Option<BodyCompletion>>,
     completed: Notify,
 }
 
 impl StreamedRequestBody {
     /// Creates a body of which `prefix` has been read and `rest` is still to be read. `length` is the
-    /// announced length of the complete body, or `None` if the body is sent in chunks.
+    /// announced length of the complete body, or `None` if the body is sent in chunks. `client_reads` observes
+    /// the client's socket.
     pub fn new(
         prefix: Bytes,
         rest: Incoming,
         length: Option<u64>,
         minimum_rate: MinimumRate,
+        client_reads: ReadObserver,
     ) -> Rc<StreamedRequestBody> {
         Rc::new(StreamedRequestBody {
             prefix,
@@ -185,7 +224,10 @@
             last_forwarded_at: Cell::new(Instant::now()),
             has_read_rest: Cell::new(false),
             has_failed: Cell::new(false),
-            completed_at: Cell::new(None),
+            client_reads,
+            upload_clock: RefCell::new(UploadClock::new(Instant::now(), length)),
+            awaits_rest: Cell::new(false),
+            completion: Cell::new(None),
             completed: Notify::new(),
         })
     }
@@ -209,21 +251,47 @@
     fn record_rest_forwarded(&self, bytes: usize) {
         self.rest_forwarded_bytes.set(self.rest_forwarded_bytes.get() + bytes as u64);
         self.last_forwarded_at.set(Instant::now());
+        let max_read_ahead =
+            || self.client_reads.receive_buffer_bytes().map(|bytes| bytes + READ_AHEAD_BYTES);
+        self.upload_clock.borrow_mut().record_received(
+            Instant::now(),
+            self.forwarded_bytes(),
+            max_read_ahead,
+        );
         if Some(self.forwarded_bytes()) == self.length {
             self.record_completed();
         }
     }
 
     fn record_completed(&self) {
-        self.completed_at.set(self.completed_at.get().or_else(|| Some(Instant::now())));
+        let completion = self.completion.get().unwrap_or_else(|| BodyCompletion {
+            sent_by_client_at: self.evidence_of_sending_at(),
+            forwarded_at: Instant::now(),
+        });
+        self.completion.set(Some(completion));
         self.completed.notify_waiters();
     }
 
-    /// Waits until the last byte has been forwarded, and returns that time.
-    async fn wait_until_complete(&self) -> Instant {
+    /// Returns the latest time until which there is evidence that the client was sending.
+    fn evidence_of_sending_at(&self) -> Instant {
+        self.upload_clock.borrow().sending_until(self.client_reads.awaited_bytes_read_at())
+    }
+
+    /// Returns until when the client was sending the body. That is now if an attempt waits for the client.
+    fn sending_until(&self) -> Instant {
+        if let Some(completion) = self.completion.get() {
+            return completion.sent_by_client_at;
+        }
+        // hyper may also read while no attempt waits, to detect that the client closes its connection.
+        let awaits_client = self.awaits_rest.get() && self.client_reads.awaits_bytes();
+        if awaits_client { Instant::now() } else { self.evidence_of_sending_at() }
+    }
+
+    /// Waits until the last byte has been forwarded.
+    async fn wait_until_complete(&self) -> BodyCompletion {
         loop {
-            if let Some(at) = self.completed_at.get() {
-                return at;
+            if let Some(completion) = self.completion.get() {
+                return completion;
             }
             self.completed.notified().await;
         }
@@ -232,7 +300,7 @@
     /// Waits until the body is slower than the minimum rate, either because the client sends too slowly or
     /// because the endpoint accepts too little. Never returns once the body is complete.
     async fn wait_until_stalled(&self) {
-        while self.completed_at.get().is_none() {
+        while self.completion.get().is_none() {
             let deadline = self.minimum_rate.deadline(self.forwarded_bytes(), self.last_forwarded_at.get());
             if deadline <= Instant::now() {
                 return;
@@ -246,7 +314,9 @@
     fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         self.has_read_rest.set(true);
         loop {
-            let frame = ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx));
+            let frame = Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx);
+            self.awaits_rest.set(frame.is_pending());
+            let frame = ready!(frame);
             let error = match frame {
                 None => {
                     self.record_completed();
@@ -308,7 +378,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             UpstreamBody::Buffered(body) => body.is_end_stream(),
-            UpstreamBody::Streamed(body, prefix) => prefix.is_none() && body.completed_at.get().is_some(),
+            UpstreamBody::Streamed(body, prefix) => prefix.is_none() && body.completion.get().is_some(),
         }
     }
 
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -104,7 +104,7 @@
                 self.on_endpoints_changed(now_ms, update, &endpoints, actions);
             }
             Event::Request(request) => self.on_request(now_ms, request, actions),
-            Event::RequestBodyComplete(id) => self.on_body_complete(now_ms, id),
+            Event::RequestBodyComplete { id, sent_at_ms } => self.on_body_complete(sent_at_ms, id),
             Event::ResponseStarted { id, attempt, elapsed_ms, .. } => {
                 let outcome = AttemptOutcome::Answered;
                 let report = AttemptReport { id, attempt, outcome, request_finished: true, elapsed_ms };
--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -152,9 +152,15 @@
     },
     /// A client's request has arrived.
     Request(Request),
-    /// The body of a request is complete, some time after its head. The arrival of the request counts as
-    /// now, and its deadline and its other times move by the same amount.
-    RequestBodyComplete(RequestId),
+    /// The body of a request is complete, some time after its head. The arrival of the request moves to
+    /// `sent_at_ms`, and its deadline and its other times move by the same amount.
+    RequestBodyComplete {
+        /// Identity of the request.
+        id: RequestId,
+        /// When the client had sent the body, in milliseconds on the balancer's clock. Not later than now. Without
+        /// effect if it is before the arrival.
+        sent_at_ms: f64,
+    },
     /// A streamed response has started. The request counts as answered even if the rest of the response
     /// fails.
     ResponseStarted {
--- a/src/policy/pending_request.rs
+++ b/src/policy/pending_request.rs
@@ -56,11 +56,15 @@
         self.attempts.iter().find(|attempt| !attempt.never_ran)
     }
 
-    /// Moves the arrival to `now_ms`, when the body was complete, and all other times by the same amount. A
-    /// client that sends its body slowly thus does not use up the time for the answer.
-    pub fn shift_arrival_to(&mut self, now_ms: f64) {
-        let delay_ms = now_ms - self.arrived_at_ms;
-        self.arrived_at_ms = now_ms;
+    /// Moves the arrival to `sent_at_ms`, when the client had sent the body, and all other times by the same
+    /// amount. A client that sends its body slowly thus does not use up the time for the answer. Has no effect
+    /// if `sent_at_ms` is before the arrival or not finite.
+    pub fn shift_arrival_to(&mut self, sent_at_ms: f64) {
+        let delay_ms = sent_at_ms - self.arrived_at_ms;
+        if !delay_ms.is_finite() || delay_ms < 0.0 {
+            return;
+        }
+        self.arrived_at_ms = sent_at_ms;
         self.objective_at_ms += delay_ms;
         self.request.deadline_ms += delay_ms;
         self.attempts.iter_mut().for_each(|attempt| attempt.sent_at_ms += delay_ms);
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -257,10 +257,11 @@
         actions.push(Action::Reject { id, retry_after_ms, reason });
     }
 
-    /// Shifts the times of a request whose body is complete only now, some time after its head.
-    pub(super) fn on_body_complete(&mut self, now_ms: f64, id: RequestId) {
+    /// Shifts the times of a request whose client had sent the body only at `sent_at_ms`, some time after its
+    /// head.
+    pub(super) fn on_body_complete(&mut self, sent_at_ms: f64, id: RequestId) {
         if let Some(pending) = self.requests.get_mut(&id) {
-            pending.shift_arrival_to(now_ms);
+            pending.shift_arrival_to(sent_at_ms);
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -457,7 +457,7 @@
             (attempt.sent_at_ms, attempt.times_out_at_ms) =
                 (attempt.sent_at_ms + delay_ms, attempt.times_out_at_ms + delay_ms);
         }
-        self.feed(Event::RequestBodyComplete(id));
+        self.feed(Event::RequestBodyComplete { id, sent_at_ms: now });
     }
 
     /// Disconnects the client of a request. A request that has already ended keeps its answer.
--- a/tests/node_request_bodies.rs
+++ b/tests/node_request_bodies.rs
@@ -1,13 +1,13 @@
-//! Tests what becomes of requests with long bodies when endpoints turn them away, reset, hang or take nothing.
+//! Tests what becomes of requests with long bodies when endpoints turn them away, reset, hang or read slowly.
 mod node;
 
 use node::*;
 use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A body that is forwarded while it arrives, and is longer than its first part by more than the buffers of a connection
 /// to an endpoint with small buffers.
@@ -90,3 +90,138 @@
 fn a_request_that_was_turned_away_and_then_timed_out_after_its_last_byte_is_not_rejected() {
     assert_no_begun_request_is_rejected(AfterLastByte::Hang);
 }
+
+/// The time for which the clients of [`long_keyed_request`] wait, and what they tell the node.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A client that gets no answer for this time after its timeout takes the request for lost.
+const LOST_AFTER_TIMEOUT: Duration = Duration::from_millis(550);
+
+/// How the length of a body is given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Framing {
+    Length,
+    Chunks,
+}
+
+/// Returns a request with an idempotency key and a body of `length` bytes.
+fn long_keyed_request(framing: Framing, length: usize) -> Vec<u8> {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let n = NEXT.fetch_add(1, Ordering::SeqCst);
+    let body = patterned_body(length);
+    let (header, body) = match framing {
+        Framing::Length => (format!("Content-Length: {length}"), body),
+        Framing::Chunks => ("Transfer-Encoding: chunked".to_owned(), encode_chunked(&body, 50_000)),
+    };
+    let head = format!(
+        "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: l{n}\r\nX-Qos: pay\r\nIdempotency-Key: k{n}\r\n\
+         X-Expires-In-Ms: {}\r\n{header}\r\n\r\n",
+        CLIENT_TIMEOUT.as_millis()
+    );
+    [head.into_bytes(), body].concat()
+}
+
+/// Starts a node with one endpoint.
+fn start_node_with(endpoint: SocketAddr) -> Node {
+    let discovery = DiscoveryStub::start(all_up(&[endpoint]));
+    Node::start(discovery.address, |_| {})
+}
+
+/// Writes a request at once, and asserts that its answer comes before the client takes the request for lost.
+fn assert_answered_in_time(node: &Node, request: &[u8], description: &str) {
+    let mut client = Client::connect(node.address);
+    assert!(client.send(request), "{description}: the node closed the connection");
+    let sent_at = Instant::now();
+    let answer = client.read_response();
+    let took = sent_at.elapsed();
+    assert!(answer.is_some(), "{description}: no answer");
+    assert!(
+        took < CLIENT_TIMEOUT + LOST_AFTER_TIMEOUT,
+        "{description}: answered {took:?} after the last byte"
+    );
+}
+
+/// Guards against a client's time that counts from when the node has forwarded the last byte, not from when the client
+/// has written it. At an endpoint that hangs, the time never began, and the request was answered when its body counted as
+/// stalled, 2 s later, however short its time was.
+#[test]
+fn a_long_request_at_an_endpoint_that_takes_nothing_is_answered_within_its_time() {
+    // More than the connection to the endpoint takes, and less than the client can write at once.
+    const LENGTH: usize = 1_500_000;
+    let endpoint = start_raw_endpoint_with_small_buffers(|_, stream| {
+        let _ = read_head(&mut BufReader::with_capacity(1024, stream.try_clone().unwrap()));
+        thread::sleep(WAIT_TIMEOUT);
+    });
+    let node = start_node_with(endpoint);
+    for framing in [Framing::Length, Framing::Chunks] {
+        assert_answered_in_time(&node, &long_keyed_request(framing, LENGTH), &format!("{framing:?}"));
+    }
+}
+
+/// Guards against the same at an endpoint that reads so slowly that most of the body waits in the buffers after the client
+/// has written it. The body never stalls there.
+#[test]
+fn a_long_request_at_an_endpoint_that_reads_slowly_is_answered_within_its_time() {
+    const LENGTH: usize = 12_000_000;
+    let endpoint = start_raw_endpoint(|_, mut stream| {
+        let mut part = vec![0; 200_000];
+        // Reads 2 MB per second.
+        while stream.read_exact(&mut part).is_ok() {
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let node = start_node_with(endpoint);
+    for framing in [Framing::Length, Framing::Chunks] {
+        assert_answered_in_time(&node, &long_keyed_request(framing, LENGTH), &format!("{framing:?}"));
+    }
+}
+
+/// Starts an endpoint that reads requests with a body in either framing, and responds with status 200.
+fn start_reading_endpoint() -> SocketAddr {
+    start_raw_endpoint(|_, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(head) = read_head(&mut reader) {
+            let length = head.split("content-length: ").nth(1).and_then(|text| text.split('\r').next());
+            let is_complete = match length.and_then(|text| text.parse().ok()) {
+                Some(length) => reader.read_exact(&mut vec![0; length]).is_ok(),
+                None => read_chunked_body(&mut reader).is_some(),
+            };
+            if is_complete {
+                let _ = stream.write_all(&response("200 OK", "", b"ok"));
+            }
+        }
+    })
+}
+
+/// Guards the neighbour of that promise: the time of a client that is still sending does not run.
+#[test]
+fn a_client_that_sends_at_the_slowest_allowed_rate_for_longer_than_its_time_is_served() {
+    let node = start_node_with(start_reading_endpoint());
+    thread::scope(|scope| {
+        for framing in [Framing::Length, Framing::Chunks] {
+            let node = &node;
+            scope.spawn(move || {
+                let mut client = Client::connect(node.address);
+                // 64 kB per second, in ten pieces.
+                for piece in long_keyed_request(framing, 200_000).chunks(6_400) {
+                    assert!(client.send(piece), "{framing:?}: the node closed the connection");
+                    thread::sleep(Duration::from_millis(100));
+                }
+                assert_eq!(client.read_response().map(|m| m.status()), Some(200), "{framing:?}");
+            });
+        }
+    });
+}
+
+/// Guards the other neighbour: a client that stops sending in the middle of a long body gets an answer.
+#[test]
+fn a_client_that_stops_sending_in_the_middle_of_a_long_body_is_answered() {
+    let node = start_node_with(start_reading_endpoint());
+    for framing in [Framing::Length, Framing::Chunks] {
+        let request = long_keyed_request(framing, 200_000);
+        let mut client = Client::connect(node.address);
+        assert!(client.send(&request[..120_000]));
+        let sent_at = Instant::now();
+        assert_eq!(client.read_response().map(|m| m.status()), Some(503), "{framing:?}");
+        assert!(sent_at.elapsed() < Duration::from_secs(3), "{framing:?}: after {:?}", sent_at.elapsed());
+    }
+}
