Disconnect a client that leaves the end of a response unread after 6 s, and test it each time

clients_that_never_read_or_never_stop_sending_are_disconnected ended after 0.03 s in three of nine runs without having tested anything, before this change and after: it took the number of descriptors while that of the readiness check was still open. It now takes the number once it is stable, as does the test of a client that stops reading.

--- a/src/node/frontend/client_connection.rs
+++ b/src/node/frontend/client_connection.rs
@@ -25,7 +25,7 @@
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The same for the end of a response, once the node has all of the response. It holds a descriptor for one
 /// client alone then, so the timeout is shorter.
-const WRITE_BACKLOG_STALL_TIMEOUT: Duration = Duration::from_secs(7);
+const WRITE_BACKLOG_STALL_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// The state of a client's connection, which decides whether the connection may be closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/node/node_process.rs
+++ b/tests/node/node_process.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 /// The `settings` of a node's configuration, unless a test edits them.
 pub fn default_settings() -> Value {
@@ -175,6 +176,18 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// The number of file descriptors that the process has open once it has closed the connections of ended clients, such
+    /// as that of the readiness check.
+    pub fn settled_descriptor_count(&self) -> usize {
+        let mut count = self.descriptor_count();
+        wait_for("the number of descriptors is stable", || {
+            std::thread::sleep(Duration::from_millis(200));
+            let previous_count = std::mem::replace(&mut count, self.descriptor_count());
+            previous_count == count
+        });
+        count
+    }
+
     /// The resident memory of the process, in KiB.
     pub fn resident_memory_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/tests/node_hostile_clients.rs
+++ b/tests/node_hostile_clients.rs
@@ -72,7 +72,7 @@
     let addresses = start_endpoints(1, &record, |_, _| ok(&vec![b'x'; 60_000]));
     let discovery = DiscoveryStub::start(all_up(&addresses));
     let node = Node::start(discovery.address, |_| {});
-    let descriptors_before = node.descriptor_count();
+    let descriptors_before = node.settled_descriptor_count();
     // This client requests far more than the socket buffers hold, and reads nothing.
     let mut non_reading = Client::connect(node.address);
     non_reading.stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
--- a/tests/node_slow_readers.rs
+++ b/tests/node_slow_readers.rs
@@ -135,7 +135,7 @@
 #[test]
 fn a_client_that_stops_reading_before_the_end_of_a_response_is_disconnected() {
     let node = start_node();
-    let descriptors_before = node.descriptor_count();
+    let descriptors_before = node.settled_descriptor_count();
     let mut client = connect_slow_reader(&node);
     request_sized(&mut client, 400_000);
     client.read_exact(&mut [0; 100_000]).unwrap();
