--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -3,16 +3,13 @@
 //! An invalid request must not reach an endpoint. It is answered at once, and the response closes the
 //! connection, because the rest that the client sends is not needed and could be misread as another request.
 
+use super::body_collector::{BodyCollector, BodyReadError, CollectedBody, IncomingBody};
 use super::responses::{ClientResponse, closing, full};
 use super::trace_ids::{OpenTraceIds, TraceIdGuard};
 use crate::headers;
 use crate::system::clock::clamped_duration;
 use crate::system::socket::Socket;
-use crate::upstream::{
-    MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MinimumRate, ProxiedRequest, RequestBody, StreamedRequestBody,
-};
-use bytes::BytesMut;
-use http_body_util::BodyExt;
+use crate::upstream::{MAX_BODY_BYTES, ProxiedRequest, RequestBody};
 use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
@@ -21,9 +18,8 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use wheelpath::policy::{Idempotency, Request, RequestClass, RequestId};
 use wheelpath::settings_file::NameIndex;
 use wheelpath::stable_hash::stable_hash;
@@ -105,32 +101,6 @@
     pub queued_since: Option<Instant>,
 }
 
-/// A body of which nothing has been read.
-struct IncomingBody {
-    body: Incoming,
-    /// The announced length. `None` if the body is sent in chunks.
-    length: Option<u64>,
-    /// When the head was complete. The minimum rate of the body counts from then.
-    started_at: Instant,
-}
-
-/// A complete body, or a streamed body of which the first part has been read.
-struct CollectedBody {
-    body: RequestBody,
-    /// One permit per buffered byte. `None` if no byte is buffered.
-    memory: Option<OwnedSemaphorePermit>,
-}
-
-/// A failure to read a body.
-enum BodyReadError {
-    /// The bodies of open requests take up the memory reserved for them.
-    NoMemory,
-    /// The client disconnected, or the body is not valid HTTP.
-    Broken,
-    /// The client sends more slowly than [`MinimumRate`] allows.
-    TooSlow,
-}
-
 impl From<BodyReadError> for RequestRejection {
     fn from(error: BodyReadError) -> RequestRejection {
         match error {
@@ -150,23 +120,20 @@
     names: Rc<NameIndex>,
     classes: Vec<RequestClass>,
     trace_ids: OpenTraceIds,
-    /// One permit per byte that the bodies of all open requests together may still take up.
-    body_memory: Arc<Semaphore>,
+    bodies: BodyCollector,
 }
 
 impl RequestReader {
     /// Creates a reader for requests of these classes. `body_memory_bytes` is the memory that the buffered
     /// bodies, and the buffered parts of streamed bodies, of all open requests may take up together. A value
-    /// below [`MAX_BUFFERED_BODY_BYTES`] counts as [`MAX_BUFFERED_BODY_BYTES`].
+    /// below that of one buffered body counts as that of one.
     pub fn new(
         names: Rc<NameIndex>,
         classes: Vec<RequestClass>,
         body_memory_bytes: usize,
     ) -> RequestReader {
-        let body_memory = Arc::new(Semaphore::new(
-            body_memory_bytes.clamp(MAX_BUFFERED_BODY_BYTES, Semaphore::MAX_PERMITS),
-        ));
-        RequestReader { names, classes, trace_ids: OpenTraceIds::default(), body_memory }
+        let bodies = BodyCollector::new(body_memory_bytes);
+        RequestReader { names, classes, trace_ids: OpenTraceIds::default(), bodies }
     }
 
     /// Reads and checks a request. Returns the rejection if the request is not valid, if its body does not
@@ -189,7 +156,7 @@
             return Err(RequestRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
         }
         let incoming = IncomingBody { body, length, started_at: arrival.head_read_at };
-        let CollectedBody { body, memory } = self.collect(incoming, socket).await?;
+        let CollectedBody { body, memory } = self.bodies.collect(incoming, socket).await?;
         let is_empty = matches!(&body, RequestBody::Buffered(bytes) if bytes.is_empty());
         if class.idempotency == Idempotency::Idempotent && !is_empty {
             return Err(RequestRejection::malformed("a request that is safe to repeat has no body\n"));
@@ -208,45 +175,6 @@
             expires_at: arrived_at + timeout.saturating_sub(EXPIRY_MARGIN),
         })
     }
-
-    /// Reads a complete body, or the first part of a body that is too long to be buffered. Memory is reserved
-    /// for the bytes received, so that a client that announces a long body and sends nothing takes none from
-    /// others.
-    async fn collect(
-        &self,
-        incoming: IncomingBody,
-        socket: &Socket,
-    ) -> Result<CollectedBody, BodyReadError> {
-        let IncomingBody { mut body, length, started_at } = incoming;
-        let mut buffered = BytesMut::new();
-        let mut memory: Option<OwnedSemaphorePermit> = None;
-        let minimum_rate = MinimumRate::new(started_at);
-        let mut last_data_at = started_at;
-        loop {
-            let deadline = minimum_rate.deadline(buffered.len() as u64, last_data_at);
-            let frame = tokio::time::timeout_at(deadline.into(), body.frame()).await;
-            let Some(frame) = frame.map_err(|_| BodyReadError::TooSlow)? else {
-                return Ok(CollectedBody { body: RequestBody::Buffered(buffered.freeze()), memory });
-            };
-            // Trailers concern only the client's connection and are not forwarded.
-            let Ok(data) = frame.map_err(|_| BodyReadError::Broken)?.into_data() else { continue };
-            last_data_at = Instant::now();
-            let permits = self.body_memory.clone().try_acquire_many_owned(data.len() as u32);
-            let permits = permits.map_err(|_| BodyReadError::NoMemory)?;
-            match &mut memory {
-                Some(memory) => memory.merge(permits),
-                None => memory = Some(permits),
-            }
-            buffered.extend_from_slice(&data);
-            let is_complete = length == Some(buffered.len() as u64);
-            if buffered.len() > MAX_BUFFERED_BODY_BYTES && !is_complete {
-                let prefix = buffered.freeze();
-                let client_reads = socket.read_observer();
-                let streamed = StreamedRequestBody::new(prefix, body, length, minimum_rate, client_reads);
-                return Ok(CollectedBody { body: RequestBody::Streamed(streamed), memory });
-            }
-        }
-    }
 }
 
 /// Returns the value of a header. Returns `None` if the header is absent or is not printable ASCII.
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -7,7 +7,7 @@
 
 use super::connection::{ExchangeError, ReceivedResponse, UpstreamConnection};
 use super::pool::{ConnectionRequest, PooledConnection, Upstream};
-use super::request_body::ProxiedRequest;
+use super::proxied_request::ProxiedRequest;
 use super::response_body::{ResponseBody, StreamEnd, StreamedResponseBody};
 use crate::headers;
 use crate::observability::request_trace::WithheldReason;
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -11,17 +11,19 @@
 mod attempt;
 mod connection;
 mod idle_age;
+mod minimum_rate;
 mod pool;
+mod proxied_request;
 mod request_body;
 mod response_body;
 mod upload_clock;
 
 pub use attempt::{Attempt, AttemptEnd, AttemptResult, UpstreamResponse};
 pub use connection::{ExchangeError, UpstreamConnection};
+pub use minimum_rate::MinimumRate;
 pub use pool::Upstream;
-pub use request_body::{
-    BodyCompletion, MinimumRate, ProxiedRequest, RequestBody, StreamedRequestBody, UpstreamBody,
-};
+pub use proxied_request::{ProxiedRequest, RequestBody};
+pub use request_body::{BodyCompletion, StreamedRequestBody, UpstreamBody};
 pub use response_body::ResponseBody;
 
 use bytes::Bytes;
--- a/src/node/upstream/request_body.rs
+++ b/src/node/upstream/request_body.rs
@@ -1,152 +1,26 @@
-//! Forwards a client's request and its body to an endpoint.
+//! Forwards the body of a client's request to an endpoint while the client sends it.
 //!
-//! A buffered body is in memory and can be sent by several attempts. A streamed body is forwarded while
-//! the client sends it. Only its first part, the prefix, stays in memory, so the request can be sent again
-//! only until the node begins to forward the rest.
+//! Only the first part of a streamed body, the prefix, stays in memory, so the request can be sent again only
+//! until the node begins to forward the rest.
 
+use super::minimum_rate::MinimumRate;
 use super::upload_clock::UploadClock;
 use super::{BodyError, MAX_BODY_BYTES, poll_buffered};
-use crate::headers;
 use crate::observability::request_trace::BodyProgress;
 use crate::system::socket::ReadObserver;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Uri};
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
-use tokio::sync::{Notify, OwnedSemaphorePermit};
+use std::time::Instant;
+use tokio::sync::Notify;
 
-/// The minimum rate of a request's body, in bytes per second. The slowest legitimate clients send 64 kB per
-/// second.
-const MIN_BYTES_PER_SECOND: f64 = 48_000.0;
-/// The grace period on top of the time that [`MIN_BYTES_PER_SECOND`] allows, and at the same time the longest
-/// pause between two chunks of a body.
-const RATE_GRACE: Duration = Duration::from_secs(2);
 /// The upper bound of the bytes that hyper has read from a client and not handed over: its buffer and one chunk.
 const READ_AHEAD_BYTES: u64 = 128 * 1024;
 
-/// A client's request as it is forwarded to endpoints, without headers that concern only the client's
-/// connection.
-pub struct ProxiedRequest {
-    /// The method of the client's request.
-    pub method: Method,
-    /// The path and query of the client's URI.
-    pub target: Uri,
-    /// The end-to-end headers.
-    pub headers: HeaderMap,
-    /// The body, without the trailers that a streamed body may have.
-    pub body: RequestBody,
-    /// The share of the memory for request bodies that this body takes. It is released when the request is
-    /// dropped. `None` if the body takes none.
-    pub _memory_permit: Option<OwnedSemaphorePermit>,
-}
-
-/// The body of a client's request.
-pub enum RequestBody {
-    /// The complete body is in memory, and can be sent again.
-    Buffered(Bytes),
-    /// The client is still sending the body.
-    Streamed(Rc<StreamedRequestBody>),
-}
-
-impl ProxiedRequest {
-    /// Returns the id that the client assigned to the request. Returns `None` if the header is missing.
-    pub fn trace_id(&self) -> Option<&HeaderValue> {
-        self.headers.get(headers::TRACE_ID)
-    }
-
-    fn streamed_body(&self) -> Option<&Rc<StreamedRequestBody>> {
-        match &self.body {
-            RequestBody::Buffered(_) => None,
-            RequestBody::Streamed(body) => Some(body),
-        }
-    }
-
-    /// Returns whether the complete request can be sent, for the first time or again.
-    pub fn is_sendable(&self) -> bool {
-        self.streamed_body().is_none_or(|body| !body.has_read_rest.get() && !body.has_failed.get())
-    }
-
-    /// Returns how much of a streamed body has been handed on. Returns `None` for a buffered body.
-    pub fn body_progress(&self) -> Option<BodyProgress> {
-        let body = self.streamed_body()?;
-        Some(BodyProgress { forwarded_bytes: body.forwarded_bytes(), length: body.length })
-    }
-
-    /// Waits until `deadline`, which counts from `start`. With a streamed body it counts from when the client
-    /// had sent the body, if that is later, whether or not the body has been forwarded.
-    pub async fn wait_until_due(&self, start: Instant, deadline: Instant) {
-        loop {
-            let upload_time = self.sending_until().map(|until| until.saturating_duration_since(start));
-            let due_at = deadline + upload_time.unwrap_or_default();
-            if due_at <= Instant::now() {
-                return;
-            }
-            tokio::time::sleep_until(due_at.into()).await;
-        }
-    }
-
-    /// Returns until when the client was sending a streamed body. Returns `None` for a buffered body.
-    fn sending_until(&self) -> Option<Instant> {
-        self.streamed_body().map(|body| body.sending_until())
-    }
-
-    /// Waits until the last byte of a streamed body has been forwarded. Returns `None` at once for a buffered
-    /// body.
-    pub async fn wait_until_body_complete(&self) -> Option<BodyCompletion> {
-        match self.streamed_body() {
-            None => None,
-            Some(body) => Some(body.wait_until_complete().await),
-        }
-    }
-
-    /// Waits until a streamed body is too slow. Never returns if the body is buffered, or once it has been
-    /// forwarded completely.
-    pub(super) async fn wait_until_body_stalled(&self) {
-        match self.streamed_body() {
-            None => std::future::pending().await,
-            Some(body) => body.wait_until_stalled().await,
-        }
-    }
-
-    /// Returns the streamed body until its last byte has been forwarded. Returns `None` after that, and for
-    /// a buffered body.
-    pub(super) fn incomplete_body(&self) -> Option<&StreamedRequestBody> {
-        self.streamed_body().filter(|body| body.completion.get().is_none()).map(Rc::as_ref)
-    }
-
-    /// Builds the request that is sent to the endpoint at `address`. `timeout` is the time that the
-    /// endpoint has for its response.
-    pub(super) fn to_endpoint(&self, address: SocketAddr, timeout: Duration) -> Request<UpstreamBody> {
-        let mut request = Request::new(self.upstream_body());
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.target.clone();
-        *request.headers_mut() = self.headers.clone();
-        let headers = request.headers_mut();
-        if !headers.contains_key(HOST)
-            && let Ok(host) = HeaderValue::from_str(&address.to_string())
-        {
-            headers.insert(HOST, host);
-        }
-        let timeout_ms = u64::try_from(timeout.as_micros().div_ceil(1000)).unwrap_or(u64::MAX);
-        headers.insert(headers::TIMEOUT_MS, HeaderValue::from(timeout_ms));
-        request
-    }
-
-    fn upstream_body(&self) -> UpstreamBody {
-        match &self.body {
-            RequestBody::Buffered(body) => UpstreamBody::Buffered(Full::new(body.clone())),
-            RequestBody::Streamed(body) => UpstreamBody::Streamed(body.clone(), Some(body.prefix.clone())),
-        }
-    }
-}
-
 /// The times at which a streamed body was complete.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyCompletion {
@@ -157,26 +31,6 @@
     pub forwarded_at: Instant,
 }
 
-/// The minimum rate of one request's body, measured from the start of that body.
-#[derive(Clone, Copy)]
-pub struct MinimumRate {
-    started_at: Instant,
-}
-
-impl MinimumRate {
-    /// Creates the minimum rate for a body that started at `started_at`.
-    pub fn new(started_at: Instant) -> MinimumRate {
-        MinimumRate { started_at }
-    }
-
-    /// Returns the time from which on the body counts as too slow if no further byte arrives. `bytes` is
-    /// the number of bytes so far, and `last_progress_at` the time of the last of them.
-    pub fn deadline(&self, bytes: u64, last_progress_at: Instant) -> Instant {
-        let allowed_time = Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND);
-        (self.started_at + allowed_time).min(last_progress_at) + RATE_GRACE
-    }
-}
-
 /// A body that is too long to be buffered, and is forwarded from a client to an endpoint.
 pub struct StreamedRequestBody {
     /// The first part of the body, which stays in memory.
@@ -232,6 +86,21 @@
         })
     }
 
+    /// Returns whether the complete body can be sent, for the first time or again.
+    pub(super) fn is_sendable(&self) -> bool {
+        !self.has_read_rest.get() && !self.has_failed.get()
+    }
+
+    /// Returns whether the last byte has been forwarded.
+    pub(super) fn is_complete(&self) -> bool {
+        self.completion.get().is_some()
+    }
+
+    /// Returns how much of the body has been handed on.
+    pub(super) fn progress(&self) -> BodyProgress {
+        BodyProgress { forwarded_bytes: self.forwarded_bytes(), length: self.length }
+    }
+
     /// Returns whether the body ended early on the client's side, or is too long.
     pub(super) fn has_failed(&self) -> bool {
         self.has_failed.get()
@@ -278,7 +147,7 @@
     }
 
     /// Returns until when the client was sending the body. That is now if an attempt waits for the client.
-    fn sending_until(&self) -> Instant {
+    pub(super) fn sending_until(&self) -> Instant {
         if let Some(completion) = self.completion.get() {
             return completion.sent_by_client_at;
         }
@@ -288,7 +157,7 @@
     }
 
     /// Waits until the last byte has been forwarded.
-    async fn wait_until_complete(&self) -> BodyCompletion {
+    pub(super) async fn wait_until_complete(&self) -> BodyCompletion {
         loop {
             if let Some(completion) = self.completion.get() {
                 return completion;
@@ -299,8 +168,8 @@
 
     /// Waits until the body is slower than the minimum rate, either because the client sends too slowly or
     /// because the endpoint accepts too little. Never returns once the body is complete.
-    async fn wait_until_stalled(&self) {
-        while self.completion.get().is_none() {
+    pub(super) async fn wait_until_stalled(&self) {
+        while !self.is_complete() {
             let deadline = self.minimum_rate.deadline(self.forwarded_bytes(), self.last_forwarded_at.get());
             if deadline <= Instant::now() {
                 return;
@@ -350,6 +219,11 @@
 }
 
 impl UpstreamBody {
+    /// Returns a streamed body of which an attempt has sent nothing yet.
+    pub(super) fn streamed(body: &Rc<StreamedRequestBody>) -> UpstreamBody {
+        UpstreamBody::Streamed(body.clone(), Some(body.prefix.clone()))
+    }
+
     /// Returns the body of a request that has none.
     pub fn empty() -> UpstreamBody {
         UpstreamBody::Buffered(Full::new(Bytes::new()))
@@ -378,7 +252,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             UpstreamBody::Buffered(body) => body.is_end_stream(),
-            UpstreamBody::Streamed(body, prefix) => prefix.is_none() && body.completion.get().is_some(),
+            UpstreamBody::Streamed(body, prefix) => prefix.is_none() && body.is_complete(),
         }
     }
 
--- a/tests/node/long_bodies.rs
+++ b/tests/node/long_bodies.rs
@@ -1,11 +1,12 @@
 //! Stands in for endpoints and clients whose long bodies a test reads and writes byte by byte.
 
+use super::http::response;
 use super::sockets::loopback;
 use socket2::{Domain, Socket, Type};
-use std::io::BufRead;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 /// The receive buffer of an endpoint's connection that takes little before it is read. The system doubles the value.
@@ -103,3 +104,29 @@
          X-Expires-In-Ms: 900\r\n{headers}\r\n"
     )
 }
+
+/// The requests that an endpoint has received, each as its head in lower case and its decoded body.
+pub type ReceivedRequests = Arc<Mutex<Vec<(String, Vec<u8>)>>>;
+
+/// Starts an endpoint that reads requests with a body in either framing, records them, and responds with status 200.
+pub fn start_recording_endpoint(received: &ReceivedRequests) -> SocketAddr {
+    let received = received.clone();
+    start_raw_endpoint(move |_, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(head) = read_head(&mut reader) {
+            let length =
+                head.split("content-length: ").nth(1).and_then(|l| l.split('\r').next()?.parse().ok());
+            let body = match length {
+                Some(length) => {
+                    let mut body = vec![0; length];
+                    reader.read_exact(&mut body).ok().map(|()| body)
+                }
+                None if head.contains("transfer-encoding: chunked") => read_chunked_body(&mut reader),
+                None => Some(Vec::new()),
+            };
+            let Some(body) = body else { return };
+            received.lock().unwrap().push((head, body));
+            stream.write_all(&response("200 OK", "", b"ok")).unwrap();
+        }
+    })
+}
--- a/tests/node_request_bodies.rs
+++ b/tests/node_request_bodies.rs
@@ -175,27 +175,10 @@
     }
 }
 
-/// Starts an endpoint that reads requests with a body in either framing, and responds with status 200.
-fn start_reading_endpoint() -> SocketAddr {
-    start_raw_endpoint(|_, mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while let Some(head) = read_head(&mut reader) {
-            let length = head.split("content-length: ").nth(1).and_then(|text| text.split('\r').next());
-            let is_complete = match length.and_then(|text| text.parse().ok()) {
-                Some(length) => reader.read_exact(&mut vec![0; length]).is_ok(),
-                None => read_chunked_body(&mut reader).is_some(),
-            };
-            if is_complete {
-                let _ = stream.write_all(&response("200 OK", "", b"ok"));
-            }
-        }
-    })
-}
-
 /// Guards the neighbour of that promise: the time of a client that is still sending does not run.
 #[test]
 fn a_client_that_sends_at_the_slowest_allowed_rate_for_longer_than_its_time_is_served() {
-    let node = start_node_with(start_reading_endpoint());
+    let node = start_node_with(start_recording_endpoint(&ReceivedRequests::default()));
     thread::scope(|scope| {
         for framing in [Framing::Length, Framing::Chunks] {
             let node = &node;
@@ -215,7 +198,7 @@
 /// Guards the other neighbour: a client that stops sending in the middle of a long body gets an answer.
 #[test]
 fn a_client_that_stops_sending_in_the_middle_of_a_long_body_is_answered() {
-    let node = start_node_with(start_reading_endpoint());
+    let node = start_node_with(start_recording_endpoint(&ReceivedRequests::default()));
     for framing in [Framing::Length, Framing::Chunks] {
         let request = long_keyed_request(framing, 200_000);
         let mut client = Client::connect(node.address);
--- a/tests/node_streaming.rs
+++ b/tests/node_streaming.rs
@@ -185,32 +185,6 @@
     assert!([slow_part, rest].concat() == patterned_body(STREAMED_BODY_BYTES), "the body was changed");
 }
 
-/// The requests that an endpoint has received, each as its head in lower case and its decoded body.
-type ReceivedRequests = Arc<Mutex<Vec<(String, Vec<u8>)>>>;
-
-/// Starts an endpoint that reads requests with a body in either framing, records them, and responds with status 200.
-fn start_recording_endpoint(received: &ReceivedRequests) -> SocketAddr {
-    let received = received.clone();
-    start_raw_endpoint(move |_, mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while let Some(head) = read_head(&mut reader) {
-            let length =
-                head.split("content-length: ").nth(1).and_then(|l| l.split('\r').next()?.parse().ok());
-            let body = match length {
-                Some(length) => {
-                    let mut body = vec![0; length];
-                    reader.read_exact(&mut body).ok().map(|()| body)
-                }
-                None if head.contains("transfer-encoding: chunked") => read_chunked_body(&mut reader),
-                None => Some(Vec::new()),
-            };
-            let Some(body) = body else { return };
-            received.lock().unwrap().push((head, body));
-            stream.write_all(&response("200 OK", "", b"ok")).unwrap();
-        }
-    })
-}
-
 #[test]
 fn a_request_body_is_forwarded_unchanged_in_each_framing() {
     let received = ReceivedRequests::default();
