--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -157,8 +157,8 @@
     RequestBodyComplete {
         /// Identity of the request.
         id: RequestId,
-        /// When the client had sent the body, in milliseconds on the balancer's clock. Not later than now. Without
-        /// effect if it is before the arrival.
+        /// When the client had sent the body, in milliseconds on the balancer's clock. Not later than now.
+        /// Without effect if it is before the arrival.
         sent_at_ms: f64,
     },
     /// A streamed response has started. The request counts as answered even if the rest of the response
--- a/src/policy/pending_request.rs
+++ b/src/policy/pending_request.rs
@@ -56,9 +56,9 @@
         self.attempts.iter().find(|attempt| !attempt.never_ran)
     }
 
-    /// Moves the arrival to `sent_at_ms`, when the client had sent the body, and all other times by the same
-    /// amount. A client that sends its body slowly thus does not use up the time for the answer. Has no effect
-    /// if `sent_at_ms` is before the arrival or not finite.
+    /// Moves the arrival to `sent_at_ms`, when the client had sent the body, and all other times by the
+    /// same amount. A client that sends its body slowly thus does not use up the time for the answer. Has no
+    /// effect if `sent_at_ms` is before the arrival or not finite.
     pub fn shift_arrival_to(&mut self, sent_at_ms: f64) {
         let delay_ms = sent_at_ms - self.arrived_at_ms;
         if !delay_ms.is_finite() || delay_ms < 0.0 {
