Call the shared wait directly, and share the stand-ins of the tests for long bodies

Read over the change once more: Attempt::wait_until_overdue and ProxiedRequest::sending_until had become wrappers with one caller each, and the forwarding of a chunk read the clock twice and added up its bytes three times. No behaviour, bound or assertion changes; the tests of bodies, readers and the node's units pass.

--- a/src/node/frontend/client_connection.rs
+++ b/src/node/frontend/client_connection.rs
@@ -177,8 +177,9 @@
         !self.is_serving() && self.head_deadline() <= Instant::now()
     }
 
-    /// Returns whether the client has read nothing of a response for [`STREAM_STALL_TIMEOUT`], or
-    /// nothing of the end of one for [`WRITE_BACKLOG_STALL_TIMEOUT`]. Each call records the progress, with which the next call compares.
+    /// Returns whether the client has read nothing of a streamed response for [`STREAM_STALL_TIMEOUT`], or
+    /// nothing of the end of a response for [`WRITE_BACKLOG_STALL_TIMEOUT`]. Each call records the progress,
+    /// with which the next call compares.
     pub fn response_stalled(&self) -> bool {
         let progress = self.write_progress.get();
         let is_being_written = self.is_streaming_response.get() || self.socket.has_write_backlog();
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -43,13 +43,6 @@
     pub started_at: Instant,
 }
 
-impl Attempt {
-    /// Waits until the deadline of the attempt has passed.
-    async fn wait_until_overdue(&self) {
-        self.proxied.wait_until_due(self.started_at, self.deadline).await;
-    }
-}
-
 /// The part of an endpoint's response that goes to the client.
 pub struct UpstreamResponse {
     /// The body, which may still be arriving from the endpoint.
@@ -155,7 +148,7 @@
     let request = attempt.proxied.to_endpoint(attempt.address, time_left);
     let socket = connection.socket.clone();
     let overdue = async {
-        attempt.wait_until_overdue().await;
+        attempt.proxied.wait_until_due(attempt.started_at, attempt.deadline).await;
         // Bytes that the kernel holds by now arrived in time, even if this task is polled late.
         if !socket.is_open_without_unread_bytes() {
             tokio::time::sleep(OVERDUE_READ_TIME).await;
--- a/src/node/upstream/proxied_request.rs
+++ b/src/node/upstream/proxied_request.rs
@@ -66,8 +66,8 @@
     /// had sent the body, if that is later, whether or not the body has been forwarded.
     pub async fn wait_until_due(&self, start: Instant, deadline: Instant) {
         loop {
-            let upload_time = self.sending_until().map(|until| until.saturating_duration_since(start));
-            let due_at = deadline + upload_time.unwrap_or_default();
+            let sending_until = self.streamed_body().map_or(start, |body| body.sending_until());
+            let due_at = deadline + sending_until.saturating_duration_since(start);
             if due_at <= Instant::now() {
                 return;
             }
@@ -75,11 +75,6 @@
         }
     }
 
-    /// Returns until when the client was sending a streamed body. Returns `None` for a buffered body.
-    fn sending_until(&self) -> Option<Instant> {
-        self.streamed_body().map(|body| body.sending_until())
-    }
-
     /// Waits until the last byte of a streamed body has been forwarded. Returns `None` at once for a buffered
     /// body.
     pub async fn wait_until_body_complete(&self) -> Option<BodyCompletion> {
--- a/src/node/upstream/request_body.rs
+++ b/src/node/upstream/request_body.rs
@@ -119,15 +119,11 @@
 
     fn record_rest_forwarded(&self, bytes: usize) {
         self.rest_forwarded_bytes.set(self.rest_forwarded_bytes.get() + bytes as u64);
-        self.last_forwarded_at.set(Instant::now());
-        let max_read_ahead =
-            || self.client_reads.receive_buffer_bytes().map(|bytes| bytes + READ_AHEAD_BYTES);
-        self.upload_clock.borrow_mut().record_received(
-            Instant::now(),
-            self.forwarded_bytes(),
-            max_read_ahead,
-        );
-        if Some(self.forwarded_bytes()) == self.length {
+        let (now, forwarded_bytes) = (Instant::now(), self.forwarded_bytes());
+        self.last_forwarded_at.set(now);
+        let max_unread = || self.client_reads.receive_buffer_bytes().map(|bytes| bytes + READ_AHEAD_BYTES);
+        self.upload_clock.borrow_mut().record_received(now, forwarded_bytes, max_unread);
+        if Some(forwarded_bytes) == self.length {
             self.record_completed();
         }
     }
--- a/tests/node/long_bodies.rs
+++ b/tests/node/long_bodies.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// The receive buffer of an endpoint's connection that takes little before it is read. The system doubles the value.
 const SMALL_RECEIVE_BUFFER_BYTES: usize = 4096;
@@ -94,14 +95,20 @@
     bytes
 }
 
-/// Returns the head of a POST request of class `pay`, with an id and an idempotency key of its own. Its client waits
-/// for 900 ms. Each line of `headers` ends with CRLF.
+/// Returns the head of a POST request of class `pay` whose client waits for 900 ms. See [`post_head_with_timeout`].
 pub fn post_head(headers: &str) -> String {
+    post_head_with_timeout(Duration::from_millis(900), headers)
+}
+
+/// Returns the head of a POST request of class `pay`, with an id and an idempotency key of its own. Its client waits
+/// for `timeout`. Each line of `headers` ends with CRLF.
+pub fn post_head_with_timeout(timeout: Duration, headers: &str) -> String {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let n = NEXT.fetch_add(1, Ordering::SeqCst);
     format!(
         "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: u{n}\r\nX-Qos: pay\r\nIdempotency-Key: k{n}\r\n\
-         X-Expires-In-Ms: 900\r\n{headers}\r\n"
+         X-Expires-In-Ms: {}\r\n{headers}\r\n",
+        timeout.as_millis()
     )
 }
 
--- a/tests/node/sockets.rs
+++ b/tests/node/sockets.rs
@@ -6,6 +6,16 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 
+/// A connection whose receive buffer keeps the system from reading much ahead of the client. The system doubles
+/// `receive_buffer_bytes`. Reads time out after `WAIT_TIMEOUT`.
+pub fn connect_with_receive_buffer(address: SocketAddr, receive_buffer_bytes: usize) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(receive_buffer_bytes).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    socket.into()
+}
+
 /// A listener whose accept queue holds one connection. A further connect stays in `SYN_SENT` until that connection is
 /// accepted, so that a test can hold a handshake open.
 pub fn listener_with_backlog_of_one() -> (Socket, SocketAddr) {
--- a/tests/node_request_bodies.rs
+++ b/tests/node_request_bodies.rs
@@ -105,19 +105,12 @@
 
 /// Returns a request with an idempotency key and a body of `length` bytes.
 fn long_keyed_request(framing: Framing, length: usize) -> Vec<u8> {
-    static NEXT: AtomicUsize = AtomicUsize::new(0);
-    let n = NEXT.fetch_add(1, Ordering::SeqCst);
     let body = patterned_body(length);
     let (header, body) = match framing {
-        Framing::Length => (format!("Content-Length: {length}"), body),
-        Framing::Chunks => ("Transfer-Encoding: chunked".to_owned(), encode_chunked(&body, 50_000)),
+        Framing::Length => (format!("Content-Length: {length}\r\n"), body),
+        Framing::Chunks => ("Transfer-Encoding: chunked\r\n".to_owned(), encode_chunked(&body, 50_000)),
     };
-    let head = format!(
-        "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: l{n}\r\nX-Qos: pay\r\nIdempotency-Key: k{n}\r\n\
-         X-Expires-In-Ms: {}\r\n{header}\r\n\r\n",
-        CLIENT_TIMEOUT.as_millis()
-    );
-    [head.into_bytes(), body].concat()
+    [post_head_with_timeout(CLIENT_TIMEOUT, &header).into_bytes(), body].concat()
 }
 
 /// Starts a node with one endpoint.
@@ -184,7 +177,7 @@
             let node = &node;
             scope.spawn(move || {
                 let mut client = Client::connect(node.address);
-                // 64 kB per second, in ten pieces.
+                // Ten pieces a second make 64 kB.
                 for piece in long_keyed_request(framing, 200_000).chunks(6_400) {
                     assert!(client.send(piece), "{framing:?}: the node closed the connection");
                     thread::sleep(Duration::from_millis(100));
--- a/tests/node_slow_readers.rs
+++ b/tests/node_slow_readers.rs
@@ -2,7 +2,6 @@
 mod node;
 
 use node::*;
-use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
@@ -37,12 +36,7 @@
 
 /// Connects a client with a small receive buffer.
 fn connect_slow_reader(node: &Node) -> BufReader<TcpStream> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
-    socket.connect(&node.address.into()).unwrap();
-    let stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-    BufReader::with_capacity(1024, stream)
+    BufReader::with_capacity(1024, connect_with_receive_buffer(node.address, RECEIVE_BUFFER_BYTES))
 }
 
 /// Sends a request for a response of `length` bytes.
--- a/tests/node_streaming.rs
+++ b/tests/node_streaming.rs
@@ -4,7 +4,6 @@
 mod node;
 
 use node::*;
-use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -167,11 +166,7 @@
     let node = start_node(&[endpoint]);
     // The client reads 64 kB per second for 13 s, which is longer than the timeout of a client that reads nothing
     // (10 s). A small receive buffer keeps the kernel from reading much ahead of it.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_recv_buffer_size(16 * 1024).unwrap();
-    socket.connect(&node.address.into()).unwrap();
-    let mut client = TcpStream::from(socket);
-    client.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let mut client = connect_with_receive_buffer(node.address, 16 * 1024);
     client.write_all(&request("page", 4000)).unwrap();
     let mut reader = BufReader::with_capacity(1024, client);
     assert!(read_head(&mut reader).expect("a response head").starts_with("http/1.1 200"));
--- a/tests/unit/upload_clock.rs
+++ b/tests/unit/upload_clock.rs
@@ -5,33 +5,31 @@
 
 const MIB: u64 = 1024 * 1024;
 
-/// Records that a body grows by 1 MiB every 100 ms from `start` on, `mib` times, while at most 1 MiB is unread.
-fn receive_steadily(clock: &mut UploadClock, start: Instant, mib: u64) {
+/// Returns the estimate after a body of the announced `length` has grown by 1 MiB every 100 ms, `mib` times, while at most
+/// 1 MiB was unread. The estimate counts from the start.
+fn estimate_after_steady_growth(length: Option<u64>, mib: u64) -> Duration {
+    let start = Instant::now();
+    let mut clock = UploadClock::new(start, length);
     for n in 1..=mib {
         clock.record_received(start + Duration::from_millis(100 * n), n * MIB, || Some(MIB));
     }
+    clock.sending_until(None).duration_since(start)
 }
 
 /// Guards against a clock that waits for the last byte: a body that fits into the buffers may be written at once.
 #[test]
 fn without_evidence_the_client_counts_as_finished_at_the_start() {
-    let start = Instant::now();
     for length in [Some(4 * MIB), None] {
-        let mut clock = UploadClock::new(start, length);
-        receive_steadily(&mut clock, start, 3);
-        assert_eq!(clock.sending_until(None), start, "{length:?}");
+        assert_eq!(estimate_after_steady_growth(length, 3), Duration::ZERO, "{length:?}");
     }
 }
 
 /// Guards against a body of 32 MiB that counts as sent at its start: most of it cannot have been written then.
 #[test]
 fn a_client_is_sending_while_more_is_missing_than_the_buffers_hold() {
-    let start = Instant::now();
     for length in [Some(32 * MIB), None] {
-        let mut clock = UploadClock::new(start, length);
-        receive_steadily(&mut clock, start, 32);
         // At 26 MiB, the buffers may have held 5 of the missing 6 MiB.
-        assert_eq!(clock.sending_until(None), start + Duration::from_millis(2600), "{length:?}");
+        assert_eq!(estimate_after_steady_growth(length, 32), Duration::from_millis(2600), "{length:?}");
     }
 }
 
