Show that a late second answer is taken for the answer to another request

Cause: a pooled connection counts as clean once it has been idle for 10 ms. A second copy of an answer that comes 11 to 15 ms late, after the next request has been written on the connection, is read as that request's answer.

--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,23 @@
+//! The cases of the second review, one for each name. Usage: `standins NAME FOLDER`.
+
+mod common;
+mod second_answer;
+
+use std::path::Path;
+use std::sync::atomic::Ordering;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, name, folder] = &arguments[..] else {
+        eprintln!("usage: standins NAME FOLDER");
+        std::process::exit(2);
+    };
+    let folder = Path::new(folder);
+    let is_over = common::limit_time(common::ms(112_000));
+    let code = match name.as_str() {
+        "second-answer" => second_answer::run(folder),
+        _ => 2,
+    };
+    is_over.store(true, Ordering::SeqCst);
+    std::process::exit(code);
+}
