Show that a planned restart loses requests whose bodies end late

Cause: the shutdown answers the submitted requests shortly before its end, but not those whose buffered body is still being read. They are submitted afterwards, run by a server, and left unanswered when the process ends 0.1 s later.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod second_answer;
+mod slow_bodies;
 
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -15,6 +16,7 @@
     let folder = Path::new(folder);
     let is_over = common::limit_time(common::ms(112_000));
     let code = match name.as_str() {
+        "slow-bodies" => slow_bodies::run(folder),
         "second-answer" => second_answer::run(folder),
         _ => 2,
     };
