Show that a body with a transfer coding reaches the server altered

Cause: the node takes each Transfer-Encoding that ends in chunked for chunked alone, undoes that one and drops the header. The server gets the coded bytes as if they were the body.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod second_answer;
 mod slow_bodies;
+mod transfer_coding;
 
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -18,6 +19,7 @@
     let code = match name.as_str() {
         "slow-bodies" => slow_bodies::run(folder),
         "second-answer" => second_answer::run(folder),
+        "transfer-coding" => transfer_coding::run(folder),
         _ => 2,
     };
     is_over.store(true, Ordering::SeqCst);
