Show that a node with unsafe requests alone ends up refusing all for good

Cause: a congested server has its trial only with a request that may be repeated. Where all requests are unsafe to repeat, a server that was congested once never gets a request again, and after each has hung once, none is left.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,8 +2,10 @@
 
 mod common;
 mod second_answer;
+mod silence;
 mod slow_bodies;
 mod transfer_coding;
+mod unsafe_only;
 
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -20,6 +22,7 @@
         "slow-bodies" => slow_bodies::run(folder),
         "second-answer" => second_answer::run(folder),
         "transfer-coding" => transfer_coding::run(folder),
+        "unsafe-only" => unsafe_only::run(folder),
         _ => 2,
     };
     is_over.store(true, Ordering::SeqCst);
