Show that nodes refuse all after a quiet time and a release of the servers

Cause: the allowance for cold servers when no warm rate is known applies only while that rate is exactly 0. After a quiet time it is a decayed count near 0, so a cold server that is the only one in service gets nothing until it is warm.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review, one for each name. Usage: `standins NAME FOLDER`.
 
 mod common;
+mod quiet_release;
 mod second_answer;
 mod silence;
 mod slow_bodies;
@@ -23,6 +24,7 @@
         "second-answer" => second_answer::run(folder),
         "transfer-coding" => transfer_coding::run(folder),
         "unsafe-only" => unsafe_only::run(folder),
+        "quiet-release" => quiet_release::run(folder),
         _ => 2,
     };
     is_over.store(true, Ordering::SeqCst);
