Show that a new process sends to a server that the old one knew to drain

Cause: a process leaves the version of its list to the next one, not the list. If discovery is down when it takes over, the new process becomes ready with the older list of its configuration, though it knows that the list is old.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "quiet-release" and writes record.txt beside this script. Exits with 1 if the rule was broken, 0 if it held, and 2
+# Plays the case "stale-list" and writes record.txt beside this script. Exits with 1 if the rule was broken, 0 if it held, and 2
 # if the case could not run. TROUBLE=0 leaves the disruption out. Build first: the deploy file's build, review/build-2.sh.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
@@ -10,7 +10,7 @@
 export CASE_TMP
 # The nodes run in the process group of this script's program, which is ended as a whole when the script ends.
 set -m
-"$program" quiet-release "$folder" &
+"$program" stale-list "$folder" &
 group=$!
 set +m
 finish() {
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -4,6 +4,8 @@
 use std::fs;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -259,9 +261,15 @@
     format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, entries.join(","))
 }
 
+unsafe extern "C" {
+    fn dup(descriptor: i32) -> i32;
+    fn dup2(descriptor: i32, at: i32) -> i32;
+}
+
 /// Discovery: the list, and the version of each entry's last change.
 pub struct Discovery {
     pub address: SocketAddr,
+    is_down: Arc<AtomicBool>,
     list: Arc<(Mutex<(u64, Vec<(u64, Entry)>)>, Condvar)>,
 }
 
@@ -273,13 +281,22 @@
         let entries = entries.iter().map(|entry| (1, entry.clone())).collect();
         let list = Arc::new((Mutex::new((1, entries)), Condvar::new()));
         let list_here = list.clone();
+        let is_down = Arc::new(AtomicBool::new(false));
+        let is_down_here = is_down.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (list, record) = (list_here.clone(), record.clone());
-                thread::spawn(move || Discovery::serve(stream, &list, delay, &record));
+                let (list, record, is_down) = (list_here.clone(), record.clone(), is_down_here.clone());
+                thread::spawn(move || Discovery::serve(stream, &list, delay, &record, &is_down));
             }
         });
-        Discovery { address, list }
+        Discovery { address, is_down, list }
+    }
+
+    /// While discovery is down, each call ends with 503. Watches end when it goes down.
+    pub fn set_down(&self, is_down: bool) {
+        let _state = self.list.0.lock().unwrap();
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.list.1.notify_all();
     }
 
     fn serve(
@@ -287,6 +304,7 @@
         list: &(Mutex<(u64, Vec<(u64, Entry)>)>, Condvar),
         delay: Duration,
         record: &Record,
+        is_down: &AtomicBool,
     ) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().unwrap();
@@ -300,10 +318,17 @@
             let after = parameter("after");
             let until = Instant::now() + ms(parameter("wait_ms").unwrap_or(0).min(60_000));
             let mut state = list.0.lock().unwrap();
-            while after.is_some_and(|after| state.0 <= after) && Instant::now() < until {
+            let is_down = || is_down.load(Ordering::SeqCst);
+            while after.is_some_and(|after| state.0 <= after) && Instant::now() < until && !is_down() {
                 let left = until.saturating_duration_since(Instant::now());
                 state = list.1.wait_timeout(state, left).unwrap().0;
             }
+            if is_down() {
+                drop(state);
+                let _ =
+                    writer.write_all(&response("503 Service Unavailable", "Connection: close\r\n", "down"));
+                return;
+            }
             let text = match after {
                 Some(after) => {
                     let changed = state.1.iter().filter(|(rev, _)| *rev > after);
@@ -395,19 +420,47 @@
     }
 
     pub fn start(name: &str, listen: SocketAddr, folder: &Path) -> Node {
+        Node::launch(name, listen, folder, None)
+    }
+
+    /// Starts a process that inherits the clients' listening socket as descriptor 3 and is called at `console`.
+    pub fn start_inheriting(
+        name: &str,
+        listener: &TcpListener,
+        folder: &Path,
+        console: SocketAddr,
+    ) -> Node {
+        Node::launch(name, listener.local_addr().unwrap(), folder, Some((listener.as_raw_fd(), console)))
+    }
+
+    fn launch(name: &str, listen: SocketAddr, folder: &Path, inherited: Option<(i32, SocketAddr)>) -> Node {
         let deploy = fs::read_to_string("deploy/balancer.toml").expect("deploy/balancer.toml");
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).expect("run");
         let run = run.trim_end().trim_end_matches('"');
         let log = fs::File::options().create(true).append(true).open(folder.join("log.txt")).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", run])
             .env("LB_CONFIG", folder.join("config.json"))
             .env("TMPDIR", folder.join("tmp"))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("the node");
+            .stderr(log);
+        if let Some((descriptor, console)) = inherited {
+            command.env("LB_INHERITED_FD", "3").env("LB_CONSOLE", console.to_string());
+            // SAFETY: the closure runs between fork and exec, and calls dup and dup2 alone.
+            unsafe {
+                command.pre_exec(move || {
+                    // A copy is not closed on exec; the copy of the copy has the number that the node is told.
+                    let copy = dup(descriptor);
+                    if copy < 0 || (copy != 3 && dup2(copy, 3) < 0) {
+                        return Err(io::Error::last_os_error());
+                    }
+                    Ok(())
+                });
+            }
+        }
+        let child = command.spawn().expect("the node");
         Node { name: name.to_owned(), listen, folder: folder.to_owned(), child }
     }
 
@@ -479,6 +532,16 @@
     }
 }
 
+/// Calls a node's console, and returns the line that it answers.
+pub fn call(console: SocketAddr, line: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&console, ms(1000))?;
+    stream.set_read_timeout(Some(ms(2000)))?;
+    stream.write_all(format!("{line}\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer.trim_end().to_owned())
+}
+
 /// Ends the run after the time that a case may take, whatever has happened.
 pub fn limit_time(limit: Duration) -> Arc<AtomicBool> {
     let is_over = Arc::new(AtomicBool::new(false));
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod second_answer;
 mod silence;
 mod slow_bodies;
+mod stale_list;
 mod transfer_coding;
 mod unsafe_only;
 
@@ -22,6 +23,7 @@
     let code = match name.as_str() {
         "slow-bodies" => slow_bodies::run(folder),
         "second-answer" => second_answer::run(folder),
+        "stale-list" => stale_list::run(folder),
         "transfer-coding" => transfer_coding::run(folder),
         "unsafe-only" => unsafe_only::run(folder),
         "quiet-release" => quiet_release::run(folder),
