--- a/review/standins-2/unsafe_only.rs
+++ b/review/standins-2/unsafe_only.rs
@@ -63,7 +63,7 @@
             let (address, record) = (listen[node], record.clone());
             let (is_over, answers) = (is_over.clone(), answers.clone());
             thread::spawn(move || {
-                silence::send_at_pace(node, address, ms(50), request, "", &is_over, &answers, &record);
+                silence::send_at_pace(node, address, ms(20), request, "", &is_over, &answers, &record);
             })
         })
         .collect();
@@ -71,16 +71,19 @@
     // One node after another is told to end, while half of the bid servers hang just then.
     for round in 0..SERVERS {
         if trouble() {
-            record.add(format!("SIGTERM to n{round}; server s-{round} hangs for 2.5 s"));
+            record.add(format!("SIGTERM to n{round}; server s-{round} hangs for 4 s"));
             nodes[round].signal("-TERM");
             servers[round].hang(true);
         }
-        thread::sleep(ms(2500));
+        // SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
+        thread::sleep(ms(2800));
+        if trouble() {
+            nodes[round].kill();
+        }
+        thread::sleep(ms(1200));
         if trouble() {
             servers[round].hang(false);
             record.add(format!("server s-{round} goes on"));
-            thread::sleep(ms(300));
-            nodes[round].kill();
             nodes[round] = start(round);
             record.add(format!("n{round} starts again, ready: {}", nodes[round].wait_until_ready()));
         }
