Refuse at a restart what is still being read when the open requests are failed

Callers that send bodies slowly over a planned restart got no answer: a server ran their request, and the connection ended.

Cause: Driver::fail_unanswered fails the requests that were submitted.

Now nothing is submitted from that moment on (RequestCutoff): what is being read, or read later, is refused with 503, so no server sees it. The wait for the last responses leaves connections of refused clients open until its end, so that a reset does not take the refusal with it.

--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -8,13 +8,14 @@
 use super::client_connection::{
     ClientConnection, ConnectionState, REQUEST_HEAD_TIMEOUT, RequestInProgress,
 };
-use super::request_reader::{ArrivalTime, ParsedRequest};
+use super::request_reader::{ArrivalTime, ParsedRequest, RequestRejection};
 use super::responses::{self, ClientResponse, closing, full, plain};
 use crate::headers;
 use crate::observability::counters::{CounterKind, Violation};
 use crate::system::descriptors::DescriptorPermit;
 use crate::system::socket::Socket;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
@@ -245,7 +246,7 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            match self.reader.read(arrival, head, body, &client.socket).await {
+            match self.read_before_cutoff(arrival, head, body, &client.socket).await {
                 Ok(parsed) => self.submit(parsed, &client.socket).await?,
                 Err(rejection) => {
                     self.count_rejection(rejection.text());
@@ -263,6 +264,21 @@
         Ok(response)
     }
 
+    /// Reads a request. Rejects it if the [`RequestCutoff`](super::request_cutoff::RequestCutoff) passes first.
+    async fn read_before_cutoff(
+        &self,
+        arrival: ArrivalTime,
+        head: Parts,
+        body: Incoming,
+        socket: &Socket,
+    ) -> Result<ParsedRequest, RequestRejection> {
+        tokio::select! {
+            biased;
+            () = self.request_cutoff.wait() => Err(RequestRejection::stopping()),
+            parsed = self.reader.read(arrival, head, body, socket) => parsed,
+        }
+    }
+
     /// Returns the response to `/up`, which tells by its status whether the node accepts clients.
     fn health_response(&self, method: &Method) -> ClientResponse {
         if !matches!(*method, Method::GET | Method::HEAD) {
--- a/src/node/frontend/eviction.rs
+++ b/src/node/frontend/eviction.rs
@@ -97,14 +97,10 @@
         }
     }
 
-    /// Asks for the close of all connections that may be closed. Connections with a partial request are
-    /// included only if `include_partial_requests` is true.
-    pub(super) fn close_idle(&self, include_partial_requests: bool) {
+    /// Asks for the close of the connections that may be closed and for which `is_chosen` returns `true`.
+    pub(super) fn close_idle_where(&self, is_chosen: impl Fn(&ClientConnection) -> bool) {
         let clients = self.clients.borrow();
-        let closable = clients.values().filter(|client| {
-            client.may_close() && (include_partial_requests || !client.has_partial_request())
-        });
-        for client in closable {
+        for client in clients.values().filter(|client| client.may_close() && is_chosen(client)) {
             client.close_requested.notify_one();
         }
     }
--- a/src/node/frontend/mod.rs
+++ b/src/node/frontend/mod.rs
@@ -6,8 +6,9 @@
 //! [`listener`] accepts connections. [`connection`] serves one connection and closes it;
 //! [`client_connection`] tracks its state. [`eviction`] chooses which connection is closed if there is no
 //! descriptor for another one. [`request_reader`] rejects invalid requests before they are sent to an
-//! endpoint, and [`body_collector`] reads their bodies. [`readiness`] tells whether the node accepts clients and lets operators drain it. [`shutdown`]
-//! ends the frontend after SIGTERM.
+//! endpoint, and [`body_collector`] reads their bodies. [`readiness`] tells whether the node accepts clients and
+//! lets operators drain it. [`shutdown`] ends the frontend after SIGTERM; from the [`request_cutoff`] on, it
+//! refuses the requests that are not submitted yet.
 
 mod body_collector;
 mod client_connection;
@@ -15,6 +16,7 @@
 mod eviction;
 mod listener;
 mod readiness;
+mod request_cutoff;
 mod request_reader;
 mod responses;
 mod shutdown;
@@ -26,6 +28,7 @@
 use crate::driver::Driver;
 use crate::frontend::client_connection::ClientConnection;
 use crate::frontend::readiness::NotReady;
+use crate::frontend::request_cutoff::RequestCutoff;
 use crate::observability::log;
 use crate::system::descriptors::Descriptors;
 use std::cell::{Cell, RefCell};
@@ -61,6 +64,8 @@
     stopping_since: Cell<Option<Instant>>,
     /// Whether another process accepts the new connections. Set when this process receives SIGTERM.
     has_successor: Cell<bool>,
+    /// When the shutdown stops submitting requests.
+    request_cutoff: RequestCutoff,
     /// When operators drained the node. `None` if it is not drained.
     drained_since: Cell<Option<Instant>>,
     /// Notifies the accept loop that the process has received SIGTERM.
@@ -94,6 +99,7 @@
             logged_readiness: Cell::new(None),
             stopping_since: Cell::new(None),
             has_successor: Cell::new(false),
+            request_cutoff: RequestCutoff::default(),
             drained_since: Cell::new(None),
             stop_requested: Notify::new(),
             client_closed: Notify::new(),
--- a/src/node/frontend/readiness.rs
+++ b/src/node/frontend/readiness.rs
@@ -114,7 +114,7 @@
     async fn close_idle_while_drained(self: Rc<Self>, since: Instant) {
         tokio::time::sleep(CLIENT_DRAIN_GRACE).await;
         while self.drained_since.get() == Some(since) {
-            self.close_idle(false);
+            self.close_idle_where(|client| !client.has_partial_request());
             tokio::time::sleep(CLIENT_DRAIN_CHECK_INTERVAL).await;
         }
     }
--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -62,6 +62,11 @@
         RequestRejection::new(StatusCode::BAD_REQUEST, text)
     }
 
+    /// The rejection of a request that was not submitted before the process has to end.
+    pub fn stopping() -> RequestRejection {
+        RequestRejection::new(StatusCode::SERVICE_UNAVAILABLE, "the node stops\n")
+    }
+
     /// Returns the text, which is also the reason in the log.
     pub fn text(&self) -> &'static str {
         self.text
--- a/src/node/frontend/shutdown.rs
+++ b/src/node/frontend/shutdown.rs
@@ -8,8 +8,10 @@
 //!    some time ([`AcceptWindow`]). If a successor accepts the connections, this node accepts none.
 //! 2. [`Frontend::wind_down`]: connections without a request are closed at once, the others after their
 //!    responses.
-//! 3. Shortly before the end, connections with a partial request are closed, too.
-//! 4. The driver fails the requests that are still open, and their responses are written.
+//! 3. Shortly before the end, connections with a partial request head are closed, too.
+//! 4. [`Frontend::refuse_unsubmitted`]: the requests whose bodies are not complete are refused, and so is every
+//!    later one. In the same turn, the driver fails the requests that are still open.
+//! 5. [`Frontend::finish_responses`]: the responses are written.
 
 use super::Frontend;
 use std::rc::Rc;
@@ -70,11 +72,33 @@
         while Instant::now() < end && !self.clients.borrow().is_empty() {
             let time_left = end.saturating_duration_since(Instant::now());
             // A client that sends a request head slowly may still complete it early enough for an answer.
-            self.close_idle(time_left < PARTIAL_REQUEST_CUTOFF);
-            let _ = tokio::time::timeout(WIND_DOWN_CHECK_INTERVAL, self.client_closed.notified()).await;
+            let closes_partial_requests = time_left < PARTIAL_REQUEST_CUTOFF;
+            self.close_idle_where(|client| closes_partial_requests || !client.has_partial_request());
+            self.wait_for_close().await;
         }
     }
 
+    /// Refuses the requests that have not been submitted to the driver, now and from now on.
+    pub fn refuse_unsubmitted(&self) {
+        self.request_cutoff.pass();
+    }
+
+    /// Waits until all responses are written and the clients have closed their connections, or until `end`.
+    ///
+    /// A client may still send the body of a refused request. Its connection stays open until `end`: a close over
+    /// unread bytes resets the connection, and with it a response that the client has not read.
+    pub async fn finish_responses(self: &Rc<Self>, end: Instant) {
+        while Instant::now() < end && !self.clients.borrow().is_empty() {
+            self.close_idle_where(|client| !client.is_closing());
+            self.wait_for_close().await;
+        }
+    }
+
+    /// Waits until a connection is closed, but not longer than until the next check is due.
+    async fn wait_for_close(&self) {
+        let _ = tokio::time::timeout(WIND_DOWN_CHECK_INTERVAL, self.client_closed.notified()).await;
+    }
+
     /// Returns whether the node sends its clients away, because it is stopping or drained.
     pub(super) fn is_stopping_or_drained(&self) -> bool {
         self.stopping_since.get().is_some() || self.drained_since.get().is_some()
--- a/tests/node/long_bodies.rs
+++ b/tests/node/long_bodies.rs
@@ -112,11 +112,41 @@
     )
 }
 
+/// How the length of a body is given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Framing {
+    Length,
+    Chunks,
+}
+
+/// Returns a POST request of class `pay` with a patterned body of `length` bytes. Its client waits for `timeout`. See
+/// [`post_head_with_timeout`].
+pub fn post_with_body(timeout: Duration, framing: Framing, length: usize) -> Vec<u8> {
+    let body = patterned_body(length);
+    let (header, body) = match framing {
+        Framing::Length => (format!("Content-Length: {length}\r\n"), body),
+        Framing::Chunks => ("Transfer-Encoding: chunked\r\n".to_owned(), encode_chunked(&body, 50_000)),
+    };
+    [post_head_with_timeout(timeout, &header).into_bytes(), body].concat()
+}
+
+/// Returns the trace id in a message or head, in lower case. Returns an empty text if there is none.
+pub fn trace_id_of(message: &[u8]) -> String {
+    let text = String::from_utf8_lossy(message).to_ascii_lowercase();
+    let rest = text.split("x-trace-id: ").nth(1).unwrap_or_default();
+    rest.split('\r').next().unwrap_or_default().to_owned()
+}
+
 /// The requests that an endpoint has received, each as its head in lower case and its decoded body.
 pub type ReceivedRequests = Arc<Mutex<Vec<(String, Vec<u8>)>>>;
 
 /// Starts an endpoint that reads requests with a body in either framing, records them, and responds with status 200.
 pub fn start_recording_endpoint(received: &ReceivedRequests) -> SocketAddr {
+    start_slow_recording_endpoint(received, Duration::ZERO)
+}
+
+/// Does the same as [`start_recording_endpoint`], but the endpoint takes `service_time` for each request.
+pub fn start_slow_recording_endpoint(received: &ReceivedRequests, service_time: Duration) -> SocketAddr {
     let received = received.clone();
     start_raw_endpoint(move |_, mut stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
@@ -133,7 +163,11 @@
             };
             let Some(body) = body else { return };
             received.lock().unwrap().push((head, body));
-            stream.write_all(&response("200 OK", "", b"ok")).unwrap();
+            thread::sleep(service_time);
+            // The node closes the connection if it has given up the request.
+            if stream.write_all(&response("200 OK", "", b"ok")).is_err() {
+                return;
+            }
         }
     })
 }
--- a/tests/node/node_process.rs
+++ b/tests/node/node_process.rs
@@ -137,6 +137,13 @@
         self.config["console"].as_str().unwrap().parse().unwrap()
     }
 
+    /// Sends the admin command `ready`, and returns whether the process answers that it is ready. The process may still
+    /// be starting and not listen yet.
+    pub fn is_admin_ready(&self) -> bool {
+        let is_listening = TcpStream::connect(self.admin_address()).is_ok();
+        is_listening && self.admin_command("ready").starts_with("done")
+    }
+
     /// Sends one admin command and returns the answer. `line` is given without its line feed.
     pub fn admin_command(&self, line: &str) -> String {
         admin_command(self.admin_address(), format!("{line}\n").as_bytes())
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -45,7 +45,7 @@
     wait_for("the old process is ready", || old.readiness_status() == 200);
     for _ in 0..2 {
         let new = Node::launch_inheriting(discovery.address, &socket, &state_dir, configure);
-        wait_for("the new process is ready", || is_ready(&new));
+        wait_for("the new process is ready", || new.is_admin_ready());
         old.terminate();
         // While the old process ends, either process may serve a new connection.
         for _ in 0..50 {
@@ -58,13 +58,6 @@
     assert!(old.is_running());
 }
 
-/// Sends the admin command `ready`, and returns whether the process answers that it is ready. The process may still
-/// be starting and not listen yet.
-fn is_ready(node: &Node) -> bool {
-    let is_listening = std::net::TcpStream::connect(node.admin_address()).is_ok();
-    is_listening && node.admin_command("ready").starts_with("done")
-}
-
 /// The platform may pass a wrong descriptor in `LB_INHERITED_FD`. The process must then end, and its log must say
 /// which descriptor or value is wrong.
 #[test]
@@ -126,7 +119,7 @@
     wait_for("the old process is ready", || old.readiness_status() == 200);
     assert!(old.admin_command("disable-server s-0").starts_with("done"));
     let mut new = Node::launch_inheriting(discovery.address, &socket, &state_dir, set_admin_address);
-    wait_for("the new process is ready", || is_ready(&new));
+    wait_for("the new process is ready", || new.is_admin_ready());
     send_requests(&new, 40);
     assert_eq!(records[0].count(), 0, "s-0 is out of service in both processes");
     // An answer shows whether the process knows of the previous command, which went to the other process: only then
@@ -161,7 +154,7 @@
     let old = Node::launch_inheriting(discovery.address, &socket, &state_dir, set_admin_address);
     wait_for("the old process is ready", || old.readiness_status() == 200);
     let new = Node::launch_inheriting(discovery.address, &socket, &state_dir, set_admin_address);
-    wait_for("the new process is ready", || is_ready(&new));
+    wait_for("the new process is ready", || new.is_admin_ready());
     let overrides_file = state_dir.join("node-calls.json");
     assert!(old.admin_command("disable-server s-2").starts_with("done"));
     assert!(new.admin_command("enable-server s-2").starts_with("done in service"));
@@ -220,7 +213,7 @@
     let mut client_of_old = Client::connect(old.address);
     assert_eq!(client_of_old.send_and_receive(&request("page", 4000)).status(), 200);
     let mut new = Node::launch_inheriting(discovery.address, &socket, &state_dir, set_admin_address);
-    wait_for("the new process is ready", || is_ready(&new));
+    wait_for("the new process is ready", || new.is_admin_ready());
     let process_file = state_dir.join("node-state.json");
     let pid_field = |pid: u32| format!("\"pid\":{pid},");
     let is_named_in_record =
@@ -333,7 +326,7 @@
         state.matches("\"served\"").count() == COUNT
     });
     let mut new = Node::launch_inheriting(discovery.address, &socket, &state_dir, configure);
-    wait_for("the new process is ready", || is_ready(&new));
+    wait_for("the new process is ready", || new.is_admin_ready());
     for _ in 0..20 {
         assert_eq!(send_request(new.address, &request("page", 4000)).status(), 200);
     }
--- a/tests/node_request_bodies.rs
+++ b/tests/node_request_bodies.rs
@@ -96,21 +96,9 @@
 /// A client that gets no answer for this time after its timeout takes the request for lost.
 const LOST_AFTER_TIMEOUT: Duration = Duration::from_millis(550);
 
-/// How the length of a body is given.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Framing {
-    Length,
-    Chunks,
-}
-
 /// Returns a request with an idempotency key and a body of `length` bytes.
 fn long_keyed_request(framing: Framing, length: usize) -> Vec<u8> {
-    let body = patterned_body(length);
-    let (header, body) = match framing {
-        Framing::Length => (format!("Content-Length: {length}\r\n"), body),
-        Framing::Chunks => ("Transfer-Encoding: chunked\r\n".to_owned(), encode_chunked(&body, 50_000)),
-    };
-    [post_head_with_timeout(CLIENT_TIMEOUT, &header).into_bytes(), body].concat()
+    post_with_body(CLIENT_TIMEOUT, framing, length)
 }
 
 /// Starts a node with one endpoint.
