Refuse messages with a transfer coding that the node cannot undo

Answers with such codings reached the client in the same way.

Cause: hyper accepts each list of codings that ends in chunked (in an answer, each list) and undoes that one; body_length and check_framing took the header alone for 'in chunks', and the node drops it. The record of the case shows the gzip file at the server, with an empty Transfer-Encoding.

Now transfer_coding reads all header lines as one list, for requests and for answers of servers and of discovery: none, or chunked once in any spelling. Another coding gets 501 (RFC 9112, 6.1), chunked twice 400; in an answer both are malformed, an attempt that may have run.

--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -9,6 +9,7 @@
 use crate::headers;
 use crate::system::clock::clamped_duration;
 use crate::system::socket::Socket;
+use crate::transfer_coding::{TransferCoding, TransferCodingError, transfer_coding};
 use crate::upstream::{MAX_BODY_BYTES, ProxiedRequest, RequestBody};
 use hyper::body::Incoming;
 use hyper::header::{
@@ -106,6 +107,19 @@
     pub queued_since: Option<Instant>,
 }
 
+impl From<TransferCodingError> for RequestRejection {
+    fn from(error: TransferCodingError) -> RequestRejection {
+        match error {
+            TransferCodingError::Unknown => {
+                RequestRejection::new(StatusCode::NOT_IMPLEMENTED, "the transfer coding is not known\n")
+            }
+            TransferCodingError::Malformed => {
+                RequestRejection::malformed("Transfer-Encoding does not name chunked once\n")
+            }
+        }
+    }
+}
+
 impl From<BodyReadError> for RequestRejection {
     fn from(error: BodyReadError) -> RequestRejection {
         match error {
@@ -194,9 +208,9 @@
 }
 
 /// Returns the length of the body. Returns `None` for a chunked body, whose length is not known before its
-/// end.
+/// end. Rejects a body in a transfer coding that the node cannot undo.
 fn body_length(head: &Parts) -> Result<Option<u64>, RequestRejection> {
-    if head.headers.contains_key(TRANSFER_ENCODING) {
+    if transfer_coding(&head.headers)? == TransferCoding::Chunked {
         return Ok(None);
     }
     match head.headers.get(CONTENT_LENGTH) {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -16,6 +16,7 @@
 mod snapshot;
 mod startup;
 mod system;
+mod transfer_coding;
 mod upstream;
 
 use crate::observability::log;
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -7,6 +7,7 @@
 use crate::system::connect::{self, ConnectError};
 use crate::system::descriptors::DescriptorPermit;
 use crate::system::socket::Socket;
+use crate::transfer_coding::transfer_coding;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -239,10 +240,12 @@
 /// limit.
 ///
 /// The end is given by `Content-Length`, by `Transfer-Encoding`, or by the end of the connection. A
-/// response with both headers is malformed unless it has no body.
+/// response with both headers, or with a transfer coding that the node cannot undo, is malformed unless it has no
+/// body.
 fn check_framing(headers: &HeaderMap, body: &Incoming, max_body_bytes: usize) -> Result<(), ExchangeError> {
     let has_both_headers = headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH);
-    let has_unambiguous_end = !has_both_headers || body.size_hint().exact() == Some(0);
+    let is_decodable = !has_both_headers && transfer_coding(headers).is_ok();
+    let has_no_body = body.size_hint().exact() == Some(0);
     let is_within_limit = body.size_hint().lower() <= max_body_bytes as u64;
-    if has_unambiguous_end && is_within_limit { Ok(()) } else { Err(ExchangeError::Malformed) }
+    if (is_decodable || has_no_body) && is_within_limit { Ok(()) } else { Err(ExchangeError::Malformed) }
 }
--- a/tests/node_malformed_responses.rs
+++ b/tests/node_malformed_responses.rs
@@ -8,6 +8,8 @@
 /// Returns malformed responses, each with a description of its fault. They are sent on connections that stay open.
 fn malformed_responses() -> Vec<(&'static str, Vec<u8>)> {
     let with_body = |head: &str| format!("HTTP/1.1 {head}\r\n\r\nbody").into_bytes();
+    let chunked =
+        |header: &str| format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n4\r\nbody\r\n0\r\n\r\n").into_bytes();
     vec![
         ("bytes that are not HTTP", (0..=255).cycle().take(600).collect()),
         ("no status", with_body("two hundred\r\nContent-Length: 4")),
@@ -24,6 +26,11 @@
             "a body of 3 GB",
             [with_body("200 OK\r\nContent-Length: 3000000000"), vec![b'x'; 500_000]].concat(),
         ),
+        ("a coding besides chunks", chunked("Transfer-Encoding: gzip, chunked")),
+        ("a coding on a line of its own", chunked("Transfer-Encoding: GZIP\r\nTransfer-Encoding: chunked")),
+        ("a coding after chunks", chunked("Transfer-Encoding: chunked, gzip")),
+        ("a coding without chunks", with_body("200 OK\r\nTransfer-Encoding: gzip")),
+        ("chunks within chunks", chunked("Transfer-Encoding: chunked, chunked")),
         ("a switch to another protocol", with_body("101 Switching Protocols\r\nUpgrade: other")),
     ]
 }
--- a/tests/node_request_bodies.rs
+++ b/tests/node_request_bodies.rs
@@ -189,3 +189,53 @@
         assert!(sent_at.elapsed() < Duration::from_secs(3), "{framing:?}: after {:?}", sent_at.elapsed());
     }
 }
+
+/// Header lines of requests whose chunked body has another coding as well, or has `chunked` twice.
+const CODINGS_THAT_THE_NODE_CANNOT_UNDO: [&str; 9] = [
+    "Transfer-Encoding: gzip, chunked",
+    "transfer-encoding:GZIP,Chunked",
+    "Transfer-Encoding: x-gzip ,\tchunked",
+    "Transfer-Encoding: identity, chunked",
+    "Transfer-Encoding: gzip;a=\"b, chunked",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked, chunked",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked\r\nX-Other: 1\r\nTransfer-Encoding: gzip, chunked",
+];
+
+/// Guards against a coded body that an endpoint takes for the client's body: the node undid `chunked`, removed the header
+/// and forwarded the gzip file.
+#[test]
+fn a_body_in_a_coding_that_the_node_cannot_undo_is_refused_and_reaches_no_endpoint() {
+    let received = ReceivedRequests::default();
+    let node = start_node_with(start_recording_endpoint(&received));
+    for coding in CODINGS_THAT_THE_NODE_CANNOT_UNDO {
+        for length in [100, 100_000] {
+            let head = post_head(&format!("{coding}\r\n"));
+            let request = [head.into_bytes(), encode_chunked(&patterned_body(length), 5_000)].concat();
+            let response = send_request(node.address, &request);
+            assert!(matches!(response.status(), 400 | 501), "{coding}: {}", response.first_line);
+            assert_eq!(response.header("connection"), Some("close"), "{coding}");
+        }
+    }
+    assert_eq!(received.lock().unwrap().len(), 0, "an endpoint got a coded body");
+}
+
+/// Guards the neighbour of that promise: a body that is only sent in chunks is served, however the header spells it.
+#[test]
+fn a_body_in_chunks_alone_is_served_in_every_spelling() {
+    let received = ReceivedRequests::default();
+    let node = start_node_with(start_recording_endpoint(&received));
+    let spellings =
+        ["Transfer-Encoding: chunked", "transfer-encoding:CHUNKED", "Transfer-Encoding: , Chunked "];
+    for spelling in spellings {
+        for length in [100, 100_000] {
+            let head = post_head(&format!("{spelling}\r\n"));
+            let body = patterned_body(length);
+            let request = [head.into_bytes(), encode_chunked(&body, 5_000)].concat();
+            assert_eq!(send_request(node.address, &request).status(), 200, "{spelling}");
+            let received_body = received.lock().unwrap().pop().map(|(_, body)| body);
+            assert!(received_body == Some(body), "{spelling}: the body was altered");
+        }
+    }
+}
