--- a/src/node/frontend/mod.rs
+++ b/src/node/frontend/mod.rs
@@ -6,9 +6,9 @@
 //! [`listener`] accepts connections. [`connection`] serves one connection and closes it;
 //! [`client_connection`] tracks its state. [`eviction`] chooses which connection is closed if there is no
 //! descriptor for another one. [`request_reader`] rejects invalid requests before they are sent to an
-//! endpoint, and [`body_collector`] reads their bodies. [`readiness`] tells whether the node accepts clients and
-//! lets operators drain it. [`shutdown`] ends the frontend after SIGTERM; from the [`request_cutoff`] on, it
-//! refuses the requests that are not submitted yet.
+//! endpoint, and [`body_collector`] reads their bodies. [`readiness`] tells whether the node accepts
+//! clients and lets operators drain it. [`shutdown`] ends the frontend after SIGTERM; from the
+//! [`request_cutoff`] on, it refuses the requests that are not submitted yet.
 
 mod body_collector;
 mod client_connection;
--- a/src/node/frontend/request_cutoff.rs
+++ b/src/node/frontend/request_cutoff.rs
@@ -4,9 +4,9 @@
 //! completes after that would be sent to an endpoint, which executes it, but the process would end before the
 //! response. The driver does not know such a request before it is submitted.
 //!
-//! After the cutoff, the frontend refuses every request that it has not submitted, and no longer waits for the
-//! rest of those that it is reading. An endpoint has seen none of them, so the client may safely send them
-//! again.
+//! After the cutoff, the frontend refuses every request that it has not submitted, and no longer waits for
+//! the rest of those that it is reading. An endpoint has seen none of them, so the client may safely send
+//! them again.
 
 use std::cell::Cell;
 use tokio::sync::Notify;
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -276,8 +276,8 @@
         // Even if the accept loop has failed or has not ended in time, accepted requests must be answered.
         let _ = tokio::time::timeout_at(answer_deadline.into(), accept_task).await;
         frontend.wind_down(answer_deadline).await;
-        // A failure response is better for the client than a connection that breaks when the process ends. From
-        // here on, no request may be submitted, because no time is left for its answer.
+        // A failure response is better for the client than a connection that breaks when the process ends.
+        // From here on, no request may be submitted, because no time is left for its answer.
         log::line("failing the open requests and refusing those that are still being read");
         frontend.refuse_unsubmitted();
         driver.fail_unanswered();
--- a/src/node/transfer_coding.rs
+++ b/src/node/transfer_coding.rs
@@ -1,12 +1,13 @@
 //! Checks the transfer codings of a message whose framing the node takes off.
 //!
-//! The node receives a body without its framing, and forwards it in a framing of its own and without the header
-//! `Transfer-Encoding`. The HTTP library undoes the coding `chunked` once, but accepts every list of codings that
-//! ends in `chunked`, and in a response any list. What other codings did to the body would stay, and nothing would
-//! tell the receiver about it: a gzip file would pass for the body that was compressed.
+//! The node receives a body without its framing, and forwards it in a framing of its own and without the
+//! header `Transfer-Encoding`. The HTTP library undoes the coding `chunked` once, but accepts every list of
+//! codings that ends in `chunked`, and in a response any list. What other codings did to the body would
+//! stay, and nothing would tell the receiver about it: a gzip file would pass for the body that was
+//! compressed.
 //!
-//! The node knows no coding other than `chunked`. It therefore accepts only messages without a transfer coding, or
-//! with `chunked` exactly once. An unknown coding is refused, as RFC 9112, section 6.1, asks.
+//! The node knows no coding other than `chunked`. It therefore accepts only messages without a transfer
+//! coding, or with `chunked` exactly once. An unknown coding is refused, as RFC 9112, section 6.1, asks.
 
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use thiserror::Error;
@@ -34,8 +35,8 @@
     Malformed,
 }
 
-/// Returns the transfer coding of a message. The codings of several header lines form one list, and empty elements of
-/// the list are skipped.
+/// Returns the transfer coding of a message. The codings of several header lines form one list, and empty
+/// elements of the list are skipped.
 ///
 /// # Errors
 /// The node cannot undo the codings.
@@ -52,7 +53,8 @@
 
 /// Returns how often a header line names `chunked`. Returns an error if the line names another coding.
 fn count_chunked(line: &HeaderValue) -> Result<usize, TransferCodingError> {
-    // A comma in a quoted parameter splits the parameter. The parts are no names of codings, so the line is refused.
+    // A comma in a quoted parameter splits the parameter. The parts are no names of codings, so the line is
+    // refused.
     let line = line.to_str().map_err(|_| TransferCodingError::Unknown)?;
     let codings = line.split(',').map(str::trim).filter(|coding| !coding.is_empty());
     let mut count = 0;
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -240,8 +240,8 @@
 /// limit.
 ///
 /// The end is given by `Content-Length`, by `Transfer-Encoding`, or by the end of the connection. A
-/// response with both headers, or with a transfer coding that the node cannot undo, is malformed unless it has no
-/// body.
+/// response with both headers, or with a transfer coding that the node cannot undo, is malformed unless it
+/// has no body.
 fn check_framing(headers: &HeaderMap, body: &Incoming, max_body_bytes: usize) -> Result<(), ExchangeError> {
     let has_both_headers = headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH);
     let is_decodable = !has_both_headers && transfer_coding(headers).is_ok();
