Let a request that may not be repeated be a trial where no other will be

Cause: only an answered trial ends congestion, and SendGate::is_usable allowed a trial only with a request that may be repeated. Evidence: 'congested ... first trial in 827 ms' and '896 ms', never 'live', 'refused: ... 499 without a usable endpoint; 0 of 2 endpoints live', admission level 1.00, and no attempt after it.

trial_eligibility decides which requests may be trials: first those that may be repeated; others if the node has had none of these for 3.5 s, or if a trial has been due for two failure windows. While another endpoint is usable a budget holds them to one in 50, and a client that leaves its trial is followed by a pause.

--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -21,6 +21,7 @@
 use super::retry::RetryBudget;
 use super::settings::{DiscoveryMode, Settings, SettingsError};
 use super::slow_start::SlowStartBudget;
+use super::trial_eligibility::TrialEligibility;
 use super::tuning::Tuning;
 use std::collections::HashMap;
 
@@ -52,6 +53,7 @@
     pub(super) admission: Admission,
     pub(super) retry_budget: RetryBudget,
     pub(super) slow_start_budget: SlowStartBudget,
+    pub(super) trial_eligibility: TrialEligibility,
     pub(super) fleet_utilization: FleetUtilization,
     pub(super) connection_scarcity: ConnectionScarcity,
     /// Share of recent attempts at all endpoints that failed, 0 to 1.
@@ -84,6 +86,7 @@
             admission: Admission::new(settings.classes.len()),
             retry_budget: RetryBudget::new(),
             slow_start_budget: SlowStartBudget::new(&settings, &tuning),
+            trial_eligibility: TrialEligibility::new(&tuning),
             fleet_utilization: FleetUtilization::default(),
             connection_scarcity: ConnectionScarcity::default(),
             fleet_failure_share: 0.0,
--- a/src/policy/failure_record.rs
+++ b/src/policy/failure_record.rs
@@ -54,6 +54,9 @@
     failed_trials: u32,
     /// A trial is in flight.
     trial_pending: bool,
+    /// When the next trial may be sent whose request may not be repeated, if that is later than PRAT, in
+    /// milliseconds on the balancer's clock.
+    unrepeatable_trial_at_ms: f64,
     /// A connection could not be made for at least one trial. The endpoint's process may have ended; a new
     /// process needs a slow start.
     unreachable: bool,
@@ -91,6 +94,11 @@
         self.congested && !self.trial_pending && now_ms >= self.prat_ms
     }
 
+    /// Returns whether the pause after an abandoned trial is over, whose request may not be repeated.
+    pub fn is_unrepeatable_trial_due(&self, now_ms: f64) -> bool {
+        now_ms >= self.unrepeatable_trial_at_ms
+    }
+
     /// Counts an attempt that has ended. `window_ms` is N, the length of the failure window.
     pub fn record(&mut self, now_ms: f64, window_ms: f64, failed: bool) {
         self.advance(now_ms, window_ms);
@@ -166,6 +174,13 @@
         self.trial_pending = false;
     }
 
+    /// Records that a trial was cancelled whose request may not be repeated and may have run. The next such
+    /// trial may be sent at `at_ms`, in milliseconds on the balancer's clock; others may be sent at once.
+    pub fn unrepeatable_trial_abandoned(&mut self, at_ms: f64) {
+        self.trial_abandoned();
+        self.unrepeatable_trial_at_ms = at_ms;
+    }
+
     /// Records that a trial failed. `prat_ms` is when the next trial may be sent, in milliseconds on the
     /// balancer's clock; `unreachable` says that no connection could be made.
     pub fn trial_failed(&mut self, prat_ms: f64, unreachable: bool) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 //! | which endpoint gets a request | `selection`, with `key_frequency` and `class_outlier` |
 //! | which conditions every attempt must meet | `send_gate` |
 //! | when an endpoint is congested, and when it gets a trial | `failure_record` |
+//! | which requests may be a trial | `trial_eligibility` |
 //! | how many requests a node may have in flight at an endpoint | `concurrency_limit` |
 //! | how much traffic a restarted endpoint gets | `slow_start` |
 //! | whether and until when a request is retried, and the timeout of an attempt | `retry` |
@@ -56,6 +57,7 @@
 mod send_gate;
 mod settings;
 mod slow_start;
+mod trial_eligibility;
 mod tuning;
 
 /// The time assumed for an event that has never happened: the origin of the balancer's clock, in
--- a/src/policy/outcome_feedback.rs
+++ b/src/policy/outcome_feedback.rs
@@ -112,11 +112,11 @@
     /// Handles the end of a trial. An answer of any kind shows that the endpoint can be reached; a trial
     /// that the node cancelled or did not send says nothing.
     fn end_trial(&mut self, now_ms: f64, index: usize, ended: &EndedAttempt, actions: &mut Vec<Action>) {
+        let failed_trials = self.endpoints[index].failures.failed_trials();
         if ended.outcome.was_ended_by_node() {
-            self.endpoints[index].failures.trial_abandoned();
+            self.abandon_trial(now_ms, index, ended, failed_trials);
             return;
         }
-        let failed_trials = self.endpoints[index].failures.failed_trials();
         let pause_ms = self.tuning.trial_pause_ms(failed_trials + 1, &mut self.rng);
         let endpoint = &mut self.endpoints[index];
         if ended.outcome.is_failure() {
@@ -137,6 +137,19 @@
         }));
     }
 
+    /// Handles a trial that the node cancelled or did not send. The endpoint may hang, and the clients of
+    /// further trials may leave as well. So a trial whose request may have run and may not be repeated is
+    /// followed by a pause before the next such trial.
+    fn abandon_trial(&mut self, now_ms: f64, index: usize, ended: &EndedAttempt, failed_trials: u32) {
+        let allows_repeats = self.settings.idempotency(ended.class).allows_repeats();
+        if allows_repeats || ended.outcome.proves_not_executed() {
+            self.endpoints[index].failures.trial_abandoned();
+            return;
+        }
+        let pause_ms = self.tuning.trial_pause_ms(failed_trials, &mut self.rng);
+        self.endpoints[index].failures.unrepeatable_trial_abandoned(now_ms + pause_ms);
+    }
+
     /// Learns from an attempt that was not a trial.
     fn learn_from_outcome(
         &mut self,
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -148,6 +148,7 @@
             now_ms,
             settings: &self.settings,
             slow_start_budget: &self.slow_start_budget,
+            trial_eligibility: &self.trial_eligibility,
             pending,
         };
         let selection = Selection {
@@ -159,7 +160,9 @@
             fleet_utilization: self.fleet_utilization.mean(),
             sees_sparse_traffic: self.tuning.sees_sparse_traffic,
         };
+        let idempotency = gate.idempotency();
         let Some(index) = selection.select_endpoint(&mut self.rng) else {
+            self.trial_eligibility.record_request(now_ms, idempotency);
             self.admission.record_no_usable_endpoint(pending.weight);
             self.reject_or_fail(now_ms, id, RejectionReason::NoUsableEndpoint, actions);
             return;
@@ -170,7 +173,11 @@
             self.reject_or_fail(now_ms, id, RejectionReason::DeadlineTooClose, actions);
             return;
         }
+        self.trial_eligibility.record_request(now_ms, idempotency);
         let attempt = self.begin_attempt(now_ms, index, timeout_ms);
+        if attempt.is_trial {
+            self.trial_eligibility.record_trial(idempotency);
+        }
         let endpoint = attempt.endpoint;
         if let Some(pending) = self.requests.get_mut(&id) {
             pending.attempts.push(attempt);
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -6,13 +6,15 @@
 //!
 //! Weighted rendezvous hashing ranks the endpoints for each key, and the two with the lowest ranks are the
 //! key's candidates. Of these, selection takes the one with fewer attempts of this node in flight. If
-//! neither candidate is usable, it takes the usable endpoint with the fewest attempts in flight.
+//! neither candidate is usable, it takes the usable endpoint with the fewest attempts in flight. If none is
+//! usable, a congested endpoint may still get the request as a trial.
 
 use super::class_statistics::ClassStatistics;
 use super::endpoint_set::{Endpoint, EndpointSet};
 use super::hash::mix;
 use super::key_frequency::{KeyFrequencySketch, SPARSE_TRAFFIC_PRIOR_REQUESTS};
 use super::send_gate::SendGate;
+use super::trial_eligibility::Alternatives;
 
 /// Utilization up to which the first candidate keeps its keys, no matter how low the utilization of the
 /// second is.
@@ -70,19 +72,21 @@
         let uniform_draw = rng.f64();
         let key = self.placement_key(rng);
         let [first, second] = self.candidates(key);
-        let first = first.filter(|index| self.is_usable(*index));
-        let second = second.filter(|index| self.is_usable(*index));
+        let first = first.filter(|index| self.is_usable(*index, Alternatives::Possible));
+        let second = second.filter(|index| self.is_usable(*index, Alternatives::Possible));
         match (first, second) {
             (Some(first), Some(second)) if self.prefers_second_candidate(first, second, uniform_draw) => {
                 Some(second)
             }
             (Some(candidate), _) | (None, Some(candidate)) => Some(candidate),
-            (None, None) => self.least_loaded(key),
+            (None, None) => {
+                self.least_loaded(key, Alternatives::Possible).or_else(|| self.trial_of_last_resort(key))
+            }
         }
     }
 
-    fn is_usable(&self, index: usize) -> bool {
-        self.gate.is_usable(&self.endpoints[index])
+    fn is_usable(&self, index: usize, alternatives: Alternatives) -> bool {
+        self.gate.is_usable(&self.endpoints[index], alternatives)
     }
 
     /// Returns the hashed key (see [`mix`]) by which the request is placed: a random one if the request has
@@ -128,8 +132,9 @@
 
     /// Returns the index of the usable endpoint with the fewest attempts of this node in flight. Ties are
     /// broken by rank, so that a key keeps to few endpoints here too.
-    fn least_loaded(&self, key: u64) -> Option<usize> {
-        let usable = self.endpoints.placement().iter().filter(|entry| self.is_usable(entry.index));
+    fn least_loaded(&self, key: u64, alternatives: Alternatives) -> Option<usize> {
+        let is_usable = |entry: &&RendezvousEntry| self.is_usable(entry.index, alternatives);
+        let usable = self.endpoints.placement().iter().filter(is_usable);
         let by_load_and_rank = |a: &&RendezvousEntry, b: &&RendezvousEntry| {
             let in_flight = |entry: &RendezvousEntry| self.endpoints[entry.index].in_flight;
             in_flight(a).cmp(&in_flight(b)).then(a.rank(key).total_cmp(&b.rank(key)))
@@ -137,6 +142,15 @@
         usable.min_by(by_load_and_rank).map(|entry| entry.index)
     }
 
+    /// Returns the index of an endpoint that gets the request as a trial because no endpoint is usable.
+    /// Requests that may be repeated are trials in any case, so there is none for them.
+    fn trial_of_last_resort(&self, key: u64) -> Option<usize> {
+        if self.gate.idempotency().allows_repeats() {
+            return None;
+        }
+        self.least_loaded(key, Alternatives::None)
+    }
+
     /// Returns whether the second candidate is taken instead of the first.
     ///
     /// It is taken if it has fewer attempts of this node in flight. If both have the same number, it may be
--- a/src/policy/send_gate.rs
+++ b/src/policy/send_gate.rs
@@ -7,8 +7,9 @@
 use super::endpoint_set::Endpoint;
 use super::pending_request::PendingRequest;
 use super::retry::repeat_window_ms;
-use super::settings::Settings;
+use super::settings::{Idempotency, Settings};
 use super::slow_start::SlowStartBudget;
+use super::trial_eligibility::{Alternatives, TrialEligibility};
 
 /// The checks for the attempts of one request at one point in time.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +17,7 @@
     pub now_ms: f64,
     pub settings: &'a Settings,
     pub slow_start_budget: &'a SlowStartBudget,
+    pub trial_eligibility: &'a TrialEligibility,
     pub pending: &'a PendingRequest,
 }
 
@@ -54,15 +56,23 @@
 
     /// Returns whether selection may take an endpoint: [`SendGate::allows`] permits an attempt, the endpoint
     /// is neither congested nor at its concurrency limit, and the request has had no attempt there. A
-    /// congested endpoint whose trial is due is also usable, but only for a request that may be repeated;
-    /// the attempt is then the trial.
-    pub fn is_usable(&self, endpoint: &Endpoint) -> bool {
-        let may_be_trial = endpoint.failures.is_trial_due(self.now_ms)
-            && self.settings.idempotency(self.pending.request.class).allows_repeats();
+    /// congested endpoint is also usable if the request may be its trial; the attempt is then the trial.
+    /// `alternatives` tells whether another endpoint may be usable.
+    pub fn is_usable(&self, endpoint: &Endpoint, alternatives: Alternatives) -> bool {
         let was_tried = self.pending.attempts.iter().any(|attempt| attempt.endpoint == endpoint.id);
-        (!endpoint.failures.is_congested() || may_be_trial)
+        (!endpoint.failures.is_congested() || self.may_be_trial(endpoint, alternatives))
             && !endpoint.limit.blocks(self.now_ms, endpoint.in_flight)
             && !was_tried
             && self.allows(endpoint)
     }
+
+    fn may_be_trial(&self, endpoint: &Endpoint, alternatives: Alternatives) -> bool {
+        let idempotency = self.idempotency();
+        self.trial_eligibility.allows_trial(self.now_ms, &endpoint.failures, idempotency, alternatives)
+    }
+
+    /// Returns the idempotency of the request's class.
+    pub fn idempotency(&self) -> Idempotency {
+        self.settings.idempotency(self.pending.request.class)
+    }
 }
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -17,3 +17,4 @@
 mod slow_start;
 mod snapshot;
 mod support;
+mod trial_eligibility;
