Pass on Content-Encoding with the body of a response

The node forwards Accept-Encoding, so a server may answer in a coding that the client accepts; the response went on with Content-Type alone, and the client took the coded body for the content.

The new test of node_streaming, with a buffered and a streamed response, failed before (no header) and fails when only CONTENT_ENCODING is taken out of the list.

--- a/src/node/frontend/responses.rs
+++ b/src/node/frontend/responses.rs
@@ -3,7 +3,7 @@
 use crate::driver::Answer;
 use crate::upstream::ResponseBody;
 use bytes::Bytes;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 /// The Retry-After header of a full node, in seconds.
@@ -43,9 +43,7 @@
     match answer {
         Answer::Served(upstream_response) => {
             let mut response = Response::new(upstream_response.body);
-            if let Some(content_type) = upstream_response.content_type {
-                response.headers_mut().insert(CONTENT_TYPE, content_type);
-            }
+            *response.headers_mut() = upstream_response.content_headers;
             response
         }
         Answer::Rejected { retry_after_ms } => {
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName};
 use hyper::http::response::Parts;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,12 +43,16 @@
     pub started_at: Instant,
 }
 
+/// The headers that go to the client with the body of a response. Without the first one, the client would
+/// take the coded body for the content.
+const CONTENT_HEADERS: [HeaderName; 2] = [CONTENT_ENCODING, CONTENT_TYPE];
+
 /// The part of an endpoint's response that goes to the client.
 pub struct UpstreamResponse {
     /// The body, which may still be arriving from the endpoint.
     pub body: ResponseBody,
-    /// The `Content-Type` header. `None` if the response has none.
-    pub content_type: Option<HeaderValue>,
+    /// The headers that tell what the body is, from [`CONTENT_HEADERS`].
+    pub content_headers: HeaderMap,
 }
 
 /// The outcome of an attempt, and what the node received from the endpoint.
@@ -246,7 +250,18 @@
         }
         _ => AttemptOutcome::ErrorResponse,
     };
-    let content_type = head.headers.get(CONTENT_TYPE).cloned();
-    let response = (outcome == AttemptOutcome::Answered).then_some(UpstreamResponse { body, content_type });
+    let response = (outcome == AttemptOutcome::Answered)
+        .then(|| UpstreamResponse { body, content_headers: content_headers(&head.headers) });
     AttemptResult { outcome, response, load }
 }
+
+/// Returns the headers of a response that its body cannot be understood without.
+fn content_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut content_headers = HeaderMap::new();
+    for name in CONTENT_HEADERS {
+        for value in headers.get_all(&name) {
+            content_headers.append(name.clone(), value.clone());
+        }
+    }
+    content_headers
+}
--- a/tests/node_streaming.rs
+++ b/tests/node_streaming.rs
@@ -317,3 +317,28 @@
     write_thread.join().unwrap();
     assert_eq!(request_count.load(Ordering::SeqCst), 1);
 }
+
+/// Guards against a client that takes a coded body for the content: the node passed on the body of a response with
+/// `Content-Encoding`, which endpoints use if the client accepts the coding, without that header.
+#[test]
+fn a_response_says_in_which_content_coding_its_body_is() {
+    const SHORT: usize = 1_000;
+    const LONG: usize = 200_000;
+    let record = RequestRecord::default();
+    let endpoint = start_endpoint(&record, |n, request| {
+        assert_eq!(request.header("accept-encoding"), Some("gzip"));
+        let headers = "Content-Encoding: gzip\r\nContent-Type: text/plain\r\n";
+        let length = if n == 0 { SHORT } else { LONG };
+        ScriptedResponse::Send(response("200 OK", headers, &patterned_body(length)))
+    });
+    let discovery = DiscoveryStub::start(all_up(&[endpoint]));
+    let node = Node::start(discovery.address, |_| {});
+    for length in [SHORT, LONG] {
+        let request = post_head("Accept-Encoding: gzip\r\nContent-Length: 0\r\n");
+        let response = send_request(node.address, request.as_bytes());
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.header("content-encoding"), Some("gzip"), "{length} bytes");
+        assert_eq!(response.header("content-type"), Some("text/plain"), "{length} bytes");
+        assert!(response.body == patterned_body(length), "{length} bytes: the body was altered");
+    }
+}
