--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -15,7 +15,6 @@
 use crate::system::descriptors::DescriptorPermit;
 use crate::system::socket::Socket;
 use hyper::body::Incoming;
-use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
@@ -246,7 +245,9 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            match self.read_before_cutoff(arrival, head, body, &client.socket).await {
+            let read = self.reader.read(arrival, head, body, &client.socket);
+            let parsed = self.request_cutoff.run_before(read).await;
+            match parsed.unwrap_or_else(|| Err(RequestRejection::stopping())) {
                 Ok(parsed) => self.submit(parsed, &client.socket).await?,
                 Err(rejection) => {
                     self.count_rejection(rejection.text());
@@ -264,21 +265,6 @@
         Ok(response)
     }
 
-    /// Reads a request. Rejects it if the [`RequestCutoff`](super::request_cutoff::RequestCutoff) passes first.
-    async fn read_before_cutoff(
-        &self,
-        arrival: ArrivalTime,
-        head: Parts,
-        body: Incoming,
-        socket: &Socket,
-    ) -> Result<ParsedRequest, RequestRejection> {
-        tokio::select! {
-            biased;
-            () = self.request_cutoff.wait() => Err(RequestRejection::stopping()),
-            parsed = self.reader.read(arrival, head, body, socket) => parsed,
-        }
-    }
-
     /// Returns the response to `/up`, which tells by its status whether the node accepts clients.
     fn health_response(&self, method: &Method) -> ClientResponse {
         if !matches!(*method, Method::GET | Method::HEAD) {
--- a/src/node/frontend/request_cutoff.rs
+++ b/src/node/frontend/request_cutoff.rs
@@ -25,15 +25,19 @@
         self.passed.notify_waiters();
     }
 
-    /// Returns whether the cutoff has passed.
-    pub fn has_passed(&self) -> bool {
-        self.has_passed.get()
+    /// Runs `operation`, and returns its output. Returns `None` if the cutoff passes first, or has passed.
+    pub async fn run_before<T>(&self, operation: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            () = self.wait() => None,
+            output = operation => Some(output),
+        }
     }
 
     /// Waits until the cutoff passes. Returns at once if it has passed.
-    pub async fn wait(&self) {
+    async fn wait(&self) {
         // All tasks share one thread, so the cutoff cannot pass between the check and the wait.
-        if !self.has_passed() {
+        if !self.has_passed.get() {
             self.passed.notified().await;
         }
     }
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -211,15 +211,11 @@
         hangup: SignalReceiver,
     ) -> Result<Node, StartupError> {
         let Resources { descriptors, max_buffer_bytes, body_memory_bytes } = resources;
-        let settings = config.settings.clone();
+        let settings = config.settings;
         let upstream = open_upstream(&settings, descriptors.clone(), max_buffer_bytes);
-        let guard = InvariantGuard::new(&settings);
-        let balancer = Balancer::new(config.settings, config.seed)?;
-        let (watch_request_sender, watch_requests) = mpsc::unbounded_channel();
-        let driver =
-            Driver::new(balancer, guard, upstream.clone(), sockets.peers.clone(), watch_request_sender);
+        let (driver, watch_requests) =
+            start_driver(&settings, config.seed, upstream.clone(), sockets.peers.clone())?;
         let names = Rc::new(config.names);
-        driver.handle(DriverEvent::Start);
         let list_version = apply_cached_list(&driver, &config.cached_endpoint_list, &names);
         let list_version = Rc::new(Cell::new(list_version));
         let takeover = is_listener_shared.then(|| Takeover::new(list_version.clone()));
@@ -253,8 +249,7 @@
         }
         log_start(&config.name, config.listen, config.admin_listen, &sockets.client_listener);
         let acceptor = Acceptor::new(sockets.client_listener, sockets.listening_since);
-        let accepting_frontend = frontend.clone();
-        let accept_task = spawn_local(async move { accepting_frontend.accept(acceptor).await });
+        let accept_task = spawn_accept(&frontend, acceptor);
         Ok(Node { driver, frontend, takeover, accept_task })
     }
 
@@ -287,6 +282,28 @@
     }
 }
 
+/// Creates the balancer and its driver, and reports the start to it. Also returns the receiver of the
+/// balancer's requests to start and stop the watch of the endpoint list.
+fn start_driver(
+    settings: &Settings,
+    seed: u64,
+    upstream: Rc<Upstream>,
+    peers: Option<Rc<PeerSocket>>,
+) -> Result<(Rc<Driver>, mpsc::UnboundedReceiver<bool>), SettingsError> {
+    let guard = InvariantGuard::new(settings);
+    let balancer = Balancer::new(settings.clone(), seed)?;
+    let (watch_request_sender, watch_requests) = mpsc::unbounded_channel();
+    let driver = Driver::new(balancer, guard, upstream, peers, watch_request_sender);
+    driver.handle(DriverEvent::Start);
+    Ok((driver, watch_requests))
+}
+
+/// Starts the task that accepts clients' connections.
+fn spawn_accept(frontend: &Rc<Frontend>, acceptor: Acceptor) -> JoinHandle<()> {
+    let frontend = frontend.clone();
+    spawn_local(async move { frontend.accept(acceptor).await })
+}
+
 /// Starts tasks that run as long as the node and end with the process.
 fn spawn_background_tasks(
     driver: &Rc<Driver>,
