--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -13,6 +13,7 @@
 mod http;
 mod node;
 mod oracle;
+mod process;
 mod proxy;
 mod record;
 mod run;
--- a/fault-soak/src/node.rs
+++ b/fault-soak/src/node.rs
@@ -8,10 +8,10 @@
 use crate::discovery::Discovery;
 use crate::faults::{FaultSetting, SyscallFaults};
 use crate::http::Message;
+use crate::process::{Process, send_command};
 use crate::record::{ProcessGap, Record, Rule};
 use crate::settings::{NodeAddresses, ProcessParameters, config};
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener as StdListener};
@@ -20,9 +20,9 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::Command;
 use tokio::sync::Mutex as AsyncMutex;
 
 /// How long after SIGTERM clients still open new connections to the node.
@@ -38,8 +38,6 @@
 const READY_TIMEOUT_SECONDS: f64 = 30.0;
 /// How long an upgrade waits for the new process to become ready before it terminates the old one anyway.
 const UPGRADE_TIMEOUT: Duration = Duration::from_secs(6);
-/// How long to wait for the answer to an admin command.
-const COMMAND_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The environment that all nodes of a run share.
 pub struct Deployment {
@@ -63,12 +61,6 @@
     pub max_descriptors: usize,
 }
 
-struct Process {
-    child: Child,
-    admin: SocketAddr,
-    log: PathBuf,
-}
-
 /// A node under test, of which usually one process runs at a time.
 pub struct Node {
     /// The index of the node.
@@ -254,7 +246,7 @@
     async fn stop(&self) {
         let Some(process) = self.process.lock().await.take() else { return };
         self.begin_gap(false);
-        signal(&process.child, Signal::SIGTERM);
+        process.signal(Signal::SIGTERM);
         let exit = self.await_exit(process);
         tokio::join!(exit, async {
             tokio::time::sleep(REMOVAL_DELAY_AFTER_SIGTERM).await;
@@ -279,9 +271,7 @@
                 let _ = process.child.kill().await;
             }
         }
-        let log = std::fs::read_to_string(&process.log).unwrap_or_default();
-        let reported = log.lines().find(|line| line.contains("violation:"));
-        if let Some(line) = reported {
+        if let Some(line) = process.log_text().lines().find(|line| line.contains("violation:")) {
             self.record_violation(Rule::SelfReportedViolation, line);
         }
     }
@@ -308,7 +298,7 @@
         }
         let new = self.launch();
         let ready = tokio::time::timeout(UPGRADE_TIMEOUT, async {
-            while !send_command(new.admin, "ready").await.is_some_and(|answer| answer.starts_with("done")) {
+            while !new.is_ready().await {
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         });
@@ -324,7 +314,7 @@
         }
         if let Some(old) = old {
             self.begin_gap(false);
-            signal(&old.child, Signal::SIGTERM);
+            old.signal(Signal::SIGTERM);
             self.await_exit(old).await;
         }
     }
@@ -342,16 +332,16 @@
         config["discovery"] = self.addresses.discovery[discovery_index].to_string().into();
         std::fs::write(&file, config.to_string()).unwrap();
         self.deployment.discovery.set_active_address(self.index, discovery_index);
-        signal(&process.child, Signal::SIGHUP);
+        process.signal(Signal::SIGHUP);
     }
 
     /// Suspends the process for `duration`.
     pub async fn suspend(&self, duration: Duration) {
         let process = self.process.lock().await;
         let Some(process) = process.as_ref() else { return };
-        signal(&process.child, Signal::SIGSTOP);
+        process.signal(Signal::SIGSTOP);
         tokio::time::sleep(duration).await;
-        signal(&process.child, Signal::SIGCONT);
+        process.signal(Signal::SIGCONT);
     }
 
     /// Sends an admin command to the process that serves. Returns `None` if there is no process, or it does
@@ -385,26 +375,6 @@
     }
 }
 
-fn signal(child: &Child, signal: Signal) {
-    if let Some(pid) = child.id().and_then(|pid| i32::try_from(pid).ok()) {
-        // The signal fails if the process has exited by itself, which `restart_if_exited` or `await_exit`
-        // records.
-        let _ = kill(Pid::from_raw(pid), signal);
-    }
-}
-
-/// Sends an admin command. Returns `None` if there is no complete answer within `COMMAND_TIMEOUT`.
-async fn send_command(admin: SocketAddr, line: &str) -> Option<String> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(admin).await.ok()?;
-        stream.write_all(format!("{line}\n").as_bytes()).await.ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.ok()?;
-        Some(answer)
-    };
-    tokio::time::timeout(COMMAND_TIMEOUT, exchange).await.ok().flatten()
-}
-
 /// A loopback address on which nothing listens. The IP address depends on the process id, so that several
 /// runs on one machine do not get the same address.
 pub fn free_address() -> SocketAddr {
