--- a/src/policy/endpoint_set.rs
+++ b/src/policy/endpoint_set.rs
@@ -14,10 +14,10 @@
 use super::event::WatchUpdate;
 use super::failure_record::FailureRecord;
 use super::hash::mix;
+use super::operator_overrides::OperatorOverrides;
 use super::selection::RendezvousEntry;
 use super::settings::Settings;
 use super::slow_start::{SlowStart, SlowStartBudget};
-use std::collections::BTreeMap;
 use std::ops::{Index, IndexMut};
 
 /// Factor on the weight of endpoints in other zones, if attempts that cross zones have a cost. It is not 0,
@@ -82,25 +82,6 @@
     }
 }
 
-/// An operator's command that still affects an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum OperatorOverride {
-    /// The endpoint is out of service until an operator enables it.
-    Disabled,
-    /// An operator enabled the endpoint again at this time, in milliseconds on the balancer's clock. The
-    /// override is dropped when the slow start that began at that time is over.
-    EnabledAt(f64),
-}
-
-impl OperatorOverride {
-    fn enabled_at_ms(self) -> Option<f64> {
-        match self {
-            OperatorOverride::Disabled => None,
-            OperatorOverride::EnabledAt(at_ms) => Some(at_ms),
-        }
-    }
-}
-
 /// The part of the previous process's snapshot that is not applied yet: its endpoints that discovery has
 /// not listed.
 #[derive(Debug, Default)]
@@ -115,7 +96,7 @@
 pub(super) struct EndpointSet {
     /// Ordered by id.
     endpoints: Vec<Endpoint>,
-    overrides: BTreeMap<EndpointId, OperatorOverride>,
+    overrides: OperatorOverrides,
     restored: RestoredSnapshot,
     /// The placement table: one entry for each endpoint in service, in the order of `endpoints`.
     placement: Vec<RendezvousEntry>,
@@ -146,7 +127,7 @@
     pub fn new(settings: &Settings) -> EndpointSet {
         EndpointSet {
             endpoints: Vec::new(),
-            overrides: BTreeMap::new(),
+            overrides: OperatorOverrides::default(),
             restored: RestoredSnapshot::default(),
             placement: Vec::new(),
             slow_start_ms: settings.slow_start_ms,
@@ -183,10 +164,7 @@
 
     /// Returns the endpoints that the operators have disabled.
     pub fn disabled(&self) -> impl Iterator<Item = EndpointId> {
-        let is_disabled = |(_, operator_override): &(&EndpointId, &OperatorOverride)| {
-            **operator_override == OperatorOverride::Disabled
-        };
-        self.overrides.iter().filter(is_disabled).map(|(id, _)| *id)
+        self.overrides.disabled()
     }
 
     /// Applies an update of the endpoint list. `update` must not be [`WatchUpdate::Failure`].
@@ -238,10 +216,7 @@
     /// Returns `None` if neither time is known.
     fn latest_start_ms(&self, update: &EndpointUpdate) -> Option<f64> {
         let reported_ms = Some(update.started_at_ms).filter(|at_ms| at_ms.is_finite() && *at_ms > 0.0);
-        let enabled_ms = self
-            .overrides
-            .get(&update.endpoint)
-            .and_then(|operator_override| operator_override.enabled_at_ms());
+        let enabled_ms = self.overrides.enabled_at_ms(update.endpoint);
         enabled_ms.into_iter().chain(reported_ms).reduce(f64::max)
     }
 
@@ -266,7 +241,7 @@
     /// Takes an endpoint out of service at an operator's command. The endpoint may be unknown: the command
     /// applies as soon as discovery lists it.
     pub fn disable(&mut self, now_ms: f64, id: EndpointId, budget: &SlowStartBudget) {
-        self.overrides.insert(id, OperatorOverride::Disabled);
+        self.overrides.disable(id);
         self.rebuild_placement(now_ms, budget);
     }
 
@@ -279,11 +254,8 @@
         budget: &SlowStartBudget,
         rng: &mut fastrand::Rng,
     ) {
-        match self.overrides.get_mut(&id) {
-            Some(operator_override) if *operator_override == OperatorOverride::Disabled => {
-                *operator_override = OperatorOverride::EnabledAt(now_ms)
-            }
-            _ => return,
+        if !self.overrides.enable(now_ms, id) {
+            return;
         }
         if let Some(index) = self.find(id) {
             self.endpoints[index].begin_slow_start(now_ms, rng);
@@ -373,13 +345,9 @@
     /// Updates which endpoints are in service, drops operator overrides that no longer apply, and rebuilds
     /// the placement table.
     pub fn rebuild_placement(&mut self, now_ms: f64, budget: &SlowStartBudget) {
-        let slow_start_ms = self.slow_start_ms;
-        self.overrides.retain(|_, operator_override| {
-            operator_override.enabled_at_ms().is_none_or(|at_ms| now_ms - at_ms < slow_start_ms)
-        });
+        self.overrides.drop_expired(now_ms, self.slow_start_ms);
         for endpoint in &mut self.endpoints {
-            let is_disabled = self.overrides.get(&endpoint.id) == Some(&OperatorOverride::Disabled);
-            endpoint.in_service = endpoint.listed_active && !is_disabled;
+            endpoint.in_service = endpoint.listed_active && !self.overrides.is_disabled(endpoint.id);
         }
         let entry = |(index, endpoint): (usize, &Endpoint)| RendezvousEntry {
             endpoint_hash: mix(endpoint.id.0),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,7 +22,7 @@
 //! | how much traffic a restarted endpoint gets | `slow_start` |
 //! | whether and until when a request is retried, and the timeout of an attempt | `retry` |
 //! | when a rejected client should retry | `retry_after` |
-//! | which endpoints are in service | `endpoint_set` |
+//! | which endpoints are in service | `endpoint_set`, with `operator_overrides` |
 //! | when discovery is polled | `discovery_schedule` |
 //! | when idle connections are closed because endpoints accept no more | `connection_scarcity` |
 //!
@@ -46,6 +46,7 @@
 mod hash;
 mod key_frequency;
 mod load_report;
+mod operator_overrides;
 mod outcome_feedback;
 mod pending_request;
 mod rejection_log;
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -17,6 +17,7 @@
 use super::retry_after::retry_after_ms;
 use super::selection::Selection;
 use super::send_gate::SendGate;
+use super::settings::Idempotency;
 
 /// An attempt may wait for an answer past the latency objective only while the admission level, the share
 /// of the offered work that is admitted, is above this value.
@@ -173,11 +174,7 @@
             self.reject_or_fail(now_ms, id, RejectionReason::DeadlineTooClose, actions);
             return;
         }
-        self.trial_eligibility.record_request(now_ms, idempotency);
-        let attempt = self.begin_attempt(now_ms, index, timeout_ms);
-        if attempt.is_trial {
-            self.trial_eligibility.record_trial(idempotency);
-        }
+        let attempt = self.begin_attempt(now_ms, index, timeout_ms, idempotency);
         let endpoint = attempt.endpoint;
         if let Some(pending) = self.requests.get_mut(&id) {
             pending.attempts.push(attempt);
@@ -205,14 +202,26 @@
     }
 
     /// Registers an attempt that is about to be sent: takes a slow-start token of the endpoint, counts the
-    /// attempt as in flight, and marks it as a trial if the endpoint is congested.
-    fn begin_attempt(&mut self, now_ms: f64, index: usize, timeout_ms: f64) -> Attempt {
+    /// attempt as in flight, and marks it as a trial if the endpoint is congested. `idempotency` is that of
+    /// the request.
+    fn begin_attempt(
+        &mut self,
+        now_ms: f64,
+        index: usize,
+        timeout_ms: f64,
+        idempotency: Idempotency,
+    ) -> Attempt {
         let endpoint = &mut self.endpoints[index];
         let tokens =
             self.slow_start_budget.tokens(now_ms, &endpoint.slow_start, endpoint.served_per_second);
         endpoint.slow_start.set_tokens(now_ms, tokens - 1.0);
         endpoint.in_flight += 1;
         self.in_flight += 1;
+        let is_trial = endpoint.failures.attempt_sent();
+        self.trial_eligibility.record_request(now_ms, idempotency);
+        if is_trial {
+            self.trial_eligibility.record_trial(idempotency);
+        }
         Attempt {
             endpoint: endpoint.id,
             location: endpoint.location,
@@ -220,7 +229,7 @@
             timeout_ms,
             in_flight: true,
             never_ran: false,
-            is_trial: endpoint.failures.attempt_sent(),
+            is_trial,
         }
     }
 
