--- a/src/node/frontend/shutdown.rs
+++ b/src/node/frontend/shutdown.rs
@@ -9,8 +9,8 @@
 //! 2. [`Frontend::wind_down`]: connections without a request are closed at once, the others after their
 //!    responses.
 //! 3. Shortly before the end, connections with a partial request head are closed, too.
-//! 4. [`Frontend::refuse_unsubmitted`]: the requests whose bodies are not complete are refused, and so is every
-//!    later one. In the same turn, the driver fails the requests that are still open.
+//! 4. [`Frontend::refuse_unsubmitted`]: requests that are still being read are refused, and so is every later
+//!    one. In the same turn, the driver fails the open requests, with those whose bodies are being forwarded.
 //! 5. [`Frontend::finish_responses`]: the responses are written.
 
 use super::Frontend;
