Wait in the shutdown test until the old process has accepted every client

The wait counted all descriptors of the process, so it could end with some clients still in the accept queue, where a successor might have accepted them. It now counts from before the first client.

--- a/tests/node_shutdown.rs
+++ b/tests/node_shutdown.rs
@@ -194,11 +194,14 @@
             node
         };
         let mut node = launch();
+        let descriptors_before = node.settled_descriptor_count();
         let begun: Vec<_> = (0..SLOW_CLIENTS)
             .map(|_| WithheldRequest::begin(node.address, self.framing, self.body_bytes))
             .collect();
         // Until the node has accepted all connections, the successor might accept some.
-        wait_for("the requests are read", || node.descriptor_count() > SLOW_CLIENTS as usize);
+        wait_for("the node has accepted all clients", || {
+            node.descriptor_count() >= descriptors_before + SLOW_CLIENTS as usize
+        });
         let successor = self.has_successor.then(launch);
         node.terminate();
         let first_end_at = Instant::now() + FAILS_OPEN_REQUESTS_AFTER - FIRST_LAST_BYTE_BEFORE;
