Tell in the log why a response was no answer, and name rejected and closed requests

The trace now tells these apart, the line on a broken stream names its request, and LB_TRACE=all logs each rejection without a trace and each close of a client's connection by its last request. Decisions are not touched.

--- a/src/node/discovery/client.rs
+++ b/src/node/discovery/client.rs
@@ -93,7 +93,7 @@
             self,
             DiscoveryError::TimedOut(_)
                 | DiscoveryError::Connect(ConnectError::TimedOut)
-                | DiscoveryError::Exchange(ExchangeError::Malformed)
+                | DiscoveryError::Exchange(ExchangeError::Malformed | ExchangeError::Stalled)
                 | DiscoveryError::Json(_)
                 | DiscoveryError::InvalidList
         )
--- a/src/node/driver/attempt.rs
+++ b/src/node/driver/attempt.rs
@@ -173,7 +173,7 @@
             let report = reporter.report();
             driver.handle(DriverEvent::ResponseStarted(report));
             let (outcome, connection) = stream_end.await.unwrap_or((AttemptOutcome::Cancelled, None));
-            log_broken_stream(attempt.endpoint, outcome);
+            log_broken_stream(&attempt, outcome);
             (outcome.into(), connection)
         }
     };
@@ -215,12 +215,14 @@
     }
 }
 
-fn log_broken_stream(endpoint: EndpointId, outcome: AttemptOutcome) {
-    if !matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Cancelled) {
-        log::line(&format!(
-            "endpoint {:016x} did not complete a response that had started: {}",
-            endpoint.0,
-            outcome.name()
-        ));
+fn log_broken_stream(attempt: &Attempt, outcome: AttemptOutcome) {
+    if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Cancelled) {
+        return;
     }
+    let trace_id = attempt.proxied.trace_id().and_then(|id| id.to_str().ok()).unwrap_or("?");
+    log::line(&format!(
+        "endpoint {:016x} did not complete a response that had started: {}, request {trace_id}",
+        attempt.endpoint.0,
+        outcome.name()
+    ));
 }
--- a/src/node/driver/mod.rs
+++ b/src/node/driver/mod.rs
@@ -299,7 +299,7 @@
         let AttemptReport { id, attempt, endpoint, result, elapsed_ms } = report;
         let (outcome, load) = (result.outcome, result.load);
         let open_request = self.requests.get_mut(id)?;
-        if !open_request.end_attempt(attempt, outcome) {
+        if !open_request.end_attempt(attempt, outcome, result.fault) {
             return None;
         }
         self.counters.count(CounterKind::Attempt, outcome.name());
--- a/src/node/driver/request_table.rs
+++ b/src/node/driver/request_table.rs
@@ -7,7 +7,7 @@
 use crate::observability::counters::{CounterKind, Counters};
 use crate::observability::invariants::{AttemptRecord, RequestFacts};
 use crate::observability::log;
-use crate::observability::request_trace::{RequestEnding, RequestTrace};
+use crate::observability::request_trace::{RequestEnding, RequestTrace, ResponseFault, TracedEnd};
 use crate::upstream::ProxiedRequest;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -101,13 +101,20 @@
         self.attempts.push(AttemptRecord { location, sent_at_ms: now_ms, outcome: None });
     }
 
-    /// Records the end of an attempt. Returns `false` if the attempt is unknown or had ended already.
-    pub fn end_attempt(&mut self, attempt: u32, outcome: AttemptOutcome) -> bool {
+    /// Records the end of an attempt, and why its response was no answer. Returns `false` if the attempt is
+    /// unknown or had ended already.
+    pub fn end_attempt(
+        &mut self,
+        attempt: u32,
+        outcome: AttemptOutcome,
+        fault: Option<ResponseFault>,
+    ) -> bool {
         let handle = self.cancel_handles.get_mut(attempt as usize).and_then(Option::take);
         if handle.is_none() {
             return false;
         }
-        self.trace.record_ended(attempt, outcome, self.proxied.body_progress());
+        let end = TracedEnd { outcome, fault, body: self.proxied.body_progress() };
+        self.trace.record_ended(attempt, end);
         if let Some(record) = self.attempts.get_mut(attempt as usize) {
             record.outcome = Some(outcome);
         }
--- a/src/node/frontend/client_connection.rs
+++ b/src/node/frontend/client_connection.rs
@@ -124,6 +124,12 @@
         self.requests_in_progress.get() > 0 || self.socket.has_write_backlog()
     }
 
+    /// Returns the trace id of the last request. Returns `?` if there is none, or if it is not visible ASCII.
+    pub fn last_trace_id(&self) -> String {
+        let id = self.last_trace_id.borrow();
+        id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("?").to_owned()
+    }
+
     /// Returns when the connection was accepted or the last byte of the last response was written.
     pub fn idle_since(&self) -> Instant {
         let response_ended_at = self.response_ended_at.get();
--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -12,6 +12,7 @@
 use super::responses::{self, ClientResponse, closing, full, plain};
 use crate::headers;
 use crate::observability::counters::{CounterKind, Violation};
+use crate::observability::log;
 use crate::system::descriptors::DescriptorPermit;
 use crate::system::socket::Socket;
 use hyper::body::Incoming;
@@ -131,10 +132,9 @@
     /// the node must not make while a request is in progress is recorded as a violation.
     async fn close(&self, client: &ClientConnection, reason: CloseReason) {
         self.driver.counters.count(CounterKind::Close, reason.name());
+        log::request_detail(|| format!("{}: connection closed, {}", client.last_trace_id(), reason.name()));
         if reason.requires_no_request() && client.is_serving() {
-            let id = client.last_trace_id.borrow();
-            let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("?");
-            let text = format!("{id} {}", reason.name());
+            let text = format!("{} {}", client.last_trace_id(), reason.name());
             self.driver.counters.record_violation(Violation::CloseUnanswered, &text);
         }
         match reason {
@@ -251,6 +251,9 @@
                 Ok(parsed) => self.submit(parsed, &client.socket).await?,
                 Err(rejection) => {
                     self.count_rejection(rejection.text());
+                    log::request_detail(|| {
+                        format!("{}: rejected, {}", client.last_trace_id(), rejection.text().trim_end())
+                    });
                     rejection.into_response()
                 }
             }
--- a/src/node/observability/log.rs
+++ b/src/node/observability/log.rs
@@ -3,7 +3,8 @@
 //! The event loop waits while a line is written, so lines must be few. There are lines about the node, and
 //! traces of requests, one line each. The trace of a request that was served by its first attempt, without
 //! any other event, is not logged. Each of the two kinds has a limit per second. `LB_TRACE=all` logs the
-//! trace of every request, up to a higher limit.
+//! trace of every request, each request that was rejected without a trace, and the end of each client's
+//! connection, up to a higher limit.
 //!
 //! A reader that does not read the log must neither stop nor delay the node. A line that cannot be written
 //! at once is therefore dropped and counted.
@@ -147,6 +148,13 @@
         .with(|all| *all.get_or_init(|| std::env::var(TRACE_VARIABLE).is_ok_and(|value| value == "all")))
 }
 
+/// Does the same as [`request`] if `LB_TRACE` asks for the traces of all requests, and nothing otherwise.
+pub fn request_detail(text: impl FnOnce() -> String) {
+    if traces_all_requests() {
+        request(text);
+    }
+}
+
 /// Writes the trace of a request, or drops it if the limit per second is used up. `text` is called only if
 /// the limit allows the line.
 pub fn request(text: impl FnOnce() -> String) {
--- a/src/node/observability/request_trace.rs
+++ b/src/node/observability/request_trace.rs
@@ -67,6 +67,41 @@
     }
 }
 
+/// Why an endpoint's response was no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseFault {
+    /// The response has this status, which is not 200.
+    Status(u16),
+    /// The response is not valid HTTP, or its body is too long.
+    Malformed,
+    /// No data of the body arrived for too long.
+    Stalled,
+    /// The time of the attempt ended while the response was arriving.
+    Incomplete,
+}
+
+impl Display for ResponseFault {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            ResponseFault::Status(status) => write!(f, "status {status}"),
+            ResponseFault::Malformed => f.write_str("malformed"),
+            ResponseFault::Stalled => f.write_str("stalled"),
+            ResponseFault::Incomplete => f.write_str("incomplete in time"),
+        }
+    }
+}
+
+/// How an attempt ended, for the trace.
+#[derive(Clone, Copy, Debug)]
+pub struct TracedEnd {
+    /// The outcome of the attempt.
+    pub outcome: AttemptOutcome,
+    /// Why the response was no answer. `None` if there was none, or if it was an answer.
+    pub fault: Option<ResponseFault>,
+    /// The progress of a streamed request body. `None` if the body is buffered.
+    pub body: Option<BodyProgress>,
+}
+
 /// How much of a request's streamed body has been handed on to endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyProgress {
@@ -90,7 +125,7 @@
 enum TraceEvent {
     AttemptRequested { attempt: u32, endpoint: EndpointId },
     Withheld(WithheldReason),
-    Ended { attempt: u32, outcome: AttemptOutcome, body: Option<BodyProgress> },
+    Ended { attempt: u32, end: TracedEnd },
     Answered(RequestEnding),
 }
 
@@ -139,10 +174,9 @@
         self.record(TraceEvent::Withheld(reason));
     }
 
-    /// Records that an attempt ended. `body` is the progress of a streamed request body, or `None` if the
-    /// body is buffered.
-    pub fn record_ended(&mut self, attempt: u32, outcome: AttemptOutcome, body: Option<BodyProgress>) {
-        self.record(TraceEvent::Ended { attempt, outcome, body });
+    /// Records that an attempt ended.
+    pub fn record_ended(&mut self, attempt: u32, end: TracedEnd) {
+        self.record(TraceEvent::Ended { attempt, end });
     }
 
     /// Records that the request got its final answer, or ended without one.
@@ -159,6 +193,16 @@
     }
 }
 
+impl Display for TracedEnd {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.outcome.name())?;
+        if let Some(fault) = self.fault {
+            write!(f, " ({fault})")?;
+        }
+        self.body.map_or(Ok(()), |body| write!(f, " after {body}"))
+    }
+}
+
 impl Display for TraceEvent {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
@@ -166,10 +210,7 @@
                 write!(f, "attempt {attempt} to {:016x}", endpoint.0)
             }
             TraceEvent::Withheld(reason) => write!(f, "withheld {}", reason.name()),
-            TraceEvent::Ended { attempt, outcome, body } => {
-                write!(f, "attempt {attempt} {}", outcome.name())?;
-                body.map_or(Ok(()), |body| write!(f, " after {body}"))
-            }
+            TraceEvent::Ended { attempt, end } => write!(f, "attempt {attempt} {end}"),
             TraceEvent::Answered(ending) => match ending {
                 RequestEnding::Rejected(reason) | RequestEnding::Failed(reason) => {
                     write!(f, "{} {}", ending.name(), reason.name())
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -10,7 +10,7 @@
 use super::proxied_request::ProxiedRequest;
 use super::response_body::{ResponseBody, StreamEnd, StreamedResponseBody};
 use crate::headers;
-use crate::observability::request_trace::WithheldReason;
+use crate::observability::request_trace::{ResponseFault, WithheldReason};
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -63,11 +63,13 @@
     pub response: Option<UpstreamResponse>,
     /// The load report of the response. All its figures are absent if there was no report.
     pub load: LoadReport,
+    /// Why the response was no answer, for the trace. `None` if there was none, or if it was an answer.
+    pub fault: Option<ResponseFault>,
 }
 
 impl From<AttemptOutcome> for AttemptResult {
     fn from(outcome: AttemptOutcome) -> AttemptResult {
-        AttemptResult { outcome, response: None, load: LoadReport::default() }
+        AttemptResult { outcome, response: None, load: LoadReport::default(), fault: None }
     }
 }
 
@@ -84,6 +86,13 @@
     fn without_response(outcome: AttemptOutcome) -> AttemptEnd {
         AttemptEnd::Complete(outcome.into(), None)
     }
+
+    /// Returns the end of an attempt whose response, which is no answer, has the given fault.
+    fn faulty_response(fault: ResponseFault) -> AttemptEnd {
+        let result =
+            AttemptResult { fault: Some(fault), ..AttemptResult::from(AttemptOutcome::ErrorResponse) };
+        AttemptEnd::Complete(result, None)
+    }
 }
 
 /// The total numbers of bytes that a connection has read and written.
@@ -129,16 +138,14 @@
         let error = match received {
             Some(Ok(response)) => return end_of_response(response, connection),
             Some(Err(error)) => error,
-            None => {
-                let outcome = outcome_without_response(attempt, &connection, &bytes_before);
-                return AttemptEnd::without_response(outcome);
-            }
+            None => return end_without_response(attempt, &connection, &bytes_before),
         };
-        let outcome = outcome_of_error(attempt, &connection, &bytes_before, &error);
-        if outcome == AttemptOutcome::ConnectionReset {
+        let end = end_of_error(attempt, &connection, &bytes_before, &error);
+        if matches!(&end, AttemptEnd::Complete(result, _) if result.outcome == AttemptOutcome::ConnectionReset)
+        {
             self.close_idle(endpoint);
         }
-        AttemptEnd::without_response(outcome)
+        end
     }
 }
 
@@ -175,13 +182,13 @@
     }
 }
 
-/// Returns the outcome of an attempt for which no complete response came in time.
-fn outcome_without_response(
+/// Returns the end of an attempt for which no complete response came in time.
+fn end_without_response(
     attempt: &Attempt,
     connection: &UpstreamConnection,
     bytes_before: &ByteCounts,
-) -> AttemptOutcome {
-    if attempt.proxied.incomplete_body().is_some() {
+) -> AttemptEnd {
+    let outcome = if attempt.proxied.incomplete_body().is_some() {
         // An endpoint executes nothing before it has received the last byte, so the request did not run.
         // With `NotSent`, the delay counts against neither the client nor the endpoint.
         AttemptOutcome::NotSent
@@ -191,30 +198,32 @@
         AttemptOutcome::TimedOut
     } else {
         // Part of a response came. `TimedOut` would state that the endpoint does not respond.
-        AttemptOutcome::ErrorResponse
-    }
+        return AttemptEnd::faulty_response(ResponseFault::Incomplete);
+    };
+    AttemptEnd::without_response(outcome)
 }
 
-/// Returns the outcome of an attempt whose connection broke or whose response is malformed.
-fn outcome_of_error(
+/// Returns the end of an attempt whose connection broke, or whose response is malformed or stalled.
+fn end_of_error(
     attempt: &Attempt,
     connection: &UpstreamConnection,
     bytes_before: &ByteCounts,
     error: &ExchangeError,
-) -> AttemptOutcome {
+) -> AttemptEnd {
     let incomplete_body = attempt.proxied.incomplete_body();
     if incomplete_body.is_some_and(|body| body.has_failed()) {
         // The client's side is at fault, and the endpoint has not received the complete request.
-        return AttemptOutcome::NotSent;
+        return AttemptEnd::without_response(AttemptOutcome::NotSent);
     }
     // Either nothing of the request or not all of its body left this node, so the request did not run.
     if incomplete_body.is_some() || connection.socket.bytes_written() == bytes_before.written {
-        return AttemptOutcome::ConnectFailed;
+        return AttemptEnd::without_response(AttemptOutcome::ConnectFailed);
     }
     // Bytes of the request were written, so it may have run.
     match error {
-        ExchangeError::Malformed => AttemptOutcome::ErrorResponse,
-        ExchangeError::Broken(_) => AttemptOutcome::ConnectionReset,
+        ExchangeError::Malformed => AttemptEnd::faulty_response(ResponseFault::Malformed),
+        ExchangeError::Stalled => AttemptEnd::faulty_response(ResponseFault::Stalled),
+        ExchangeError::Broken(_) => AttemptEnd::without_response(AttemptOutcome::ConnectionReset),
     }
 }
 
@@ -252,7 +261,8 @@
     };
     let response = (outcome == AttemptOutcome::Answered)
         .then(|| UpstreamResponse { body, content_headers: content_headers(&head.headers) });
-    AttemptResult { outcome, response, load }
+    let fault = (head.status != StatusCode::OK).then(|| ResponseFault::Status(head.status.as_u16()));
+    AttemptResult { outcome, response, load, fault }
 }
 
 /// Returns the headers of a response that its body cannot be understood without.
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -26,7 +26,7 @@
 use thiserror::Error;
 
 /// If no data of a response body arrives for this time while the body is being buffered, the node stops
-/// waiting and treats the response as malformed.
+/// waiting and gives up the response.
 const BUFFERED_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(200);
 /// A response of unknown length is buffered for at most this time. After that, it is streamed to the
 /// client, since it may be a long one.
@@ -38,10 +38,14 @@
     /// The connection broke, or the other side closed it, before the response was complete.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
-    /// The response is not valid HTTP, is too long, or stalled before its end. The other side is reachable,
-    /// and may have executed the request.
-    #[error("the response is malformed, too long or incomplete")]
+    /// The response is not valid HTTP, or is too long. The other side is reachable, and may have executed the
+    /// request.
+    #[error("the response is malformed or too long")]
     Malformed,
+    /// The body of the response was not complete in time, or no data of it arrived for too long. The other
+    /// side is reachable, and may have executed the request.
+    #[error("the response is incomplete")]
+    Stalled,
 }
 
 impl From<hyper::Error> for ExchangeError {
@@ -184,7 +188,7 @@
         loop {
             let frame = UpstreamConnection::drive(&mut self.connection, body.frame());
             let frame = tokio::time::timeout(BUFFERED_BODY_STALL_TIMEOUT, frame).await;
-            let Some(frame) = frame.map_err(|_| ExchangeError::Malformed)? else { break };
+            let Some(frame) = frame.map_err(|_| ExchangeError::Stalled)? else { break };
             if let Ok(data) = frame?.into_data() {
                 buffered.extend_from_slice(&data);
             }
@@ -218,7 +222,7 @@
                 let hyper_error = error.downcast::<hyper::Error>();
                 return Err(hyper_error.map_or(ExchangeError::Malformed, |error| (*error).into()));
             }
-            Err(_) => return Err(ExchangeError::Malformed),
+            Err(_) => return Err(ExchangeError::Stalled),
         };
         self.poll_io_once().await;
         Ok(Response::from_parts(head, body))
--- a/tests/node/node_process.rs
+++ b/tests/node/node_process.rs
@@ -65,6 +65,15 @@
         Node::spawn(discovery, free_address(), edit_config, script, |_| {})
     }
 
+    /// Starts a node without waiting for it. `set_up_command` can change the command before it is started.
+    pub fn launch_with(
+        discovery: SocketAddr,
+        edit_config: impl FnOnce(&mut Value),
+        set_up_command: impl FnOnce(&mut Command),
+    ) -> Node {
+        Node::spawn(discovery, free_address(), edit_config, "exec \"$0\"", set_up_command)
+    }
+
     /// Starts a node that inherits a listening socket as descriptor 3 and keeps its state files in `state_dir`, without
     /// waiting for it.
     pub fn launch_inheriting(
