Forward a response of unknown length once its buffer time is over, also in silence

Cause: a body of unknown length was to be buffered for 0.1 s and then streamed, but the time was looked at only when data came. In silence the limit for stalled short bodies, 0.2 s, came first and gave the response up as malformed.

Change: read_prefix waits for data until the buffer time is over, and streams what there is from then on. A body of known length up to 64 KiB keeps its limit, since nothing of it can be forwarded early.

--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -25,11 +25,11 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-/// If no data of a response body arrives for this time while the body is being buffered, the node stops
-/// waiting and gives up the response.
-const BUFFERED_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(200);
-/// A response of unknown length is buffered for at most this time. After that, it is streamed to the
-/// client, since it may be a long one.
+/// If no data of a short response body of known length arrives for this time, the node stops waiting and gives
+/// up the response.
+const SHORT_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(200);
+/// A response of unknown length is buffered for at most this time, whether or not data arrives. After that, it
+/// is streamed to the client, since it may be a long one.
 const UNKNOWN_LENGTH_BUFFER_TIME: Duration = Duration::from_millis(100);
 
 /// The reason why an exchange brought no complete response.
@@ -177,24 +177,31 @@
     /// Buffers a body of up to [`MAX_BUFFERED_BODY_BYTES`] to its end.
     ///
     /// Returns an incomplete prefix, which may be empty, if the body is longer, or if its length is unknown
-    /// and it has not ended within [`UNKNOWN_LENGTH_BUFFER_TIME`].
+    /// and it has not ended within [`UNKNOWN_LENGTH_BUFFER_TIME`]. Returns an error if a body of known length
+    /// stalls for [`SHORT_BODY_STALL_TIMEOUT`].
     async fn read_prefix(&mut self, body: &mut Incoming) -> Result<BodyPrefix, ExchangeError> {
-        let has_unknown_length = body.size_hint().exact().is_none();
+        let is_length_known = body.size_hint().exact().is_some();
         if body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64 {
             return Ok(BodyPrefix { bytes: Bytes::new(), is_complete: false });
         }
-        let buffering_started_at = Instant::now();
+        let stream_from = Instant::now() + UNKNOWN_LENGTH_BUFFER_TIME;
         let mut buffered = BytesMut::new();
         loop {
+            let wait_until =
+                if is_length_known { Instant::now() + SHORT_BODY_STALL_TIMEOUT } else { stream_from };
             let frame = UpstreamConnection::drive(&mut self.connection, body.frame());
-            let frame = tokio::time::timeout(BUFFERED_BODY_STALL_TIMEOUT, frame).await;
-            let Some(frame) = frame.map_err(|_| ExchangeError::Stalled)? else { break };
-            if let Ok(data) = frame?.into_data() {
-                buffered.extend_from_slice(&data);
-            }
-            let is_buffer_time_over =
-                has_unknown_length && buffering_started_at.elapsed() > UNKNOWN_LENGTH_BUFFER_TIME;
-            if buffered.len() > MAX_BUFFERED_BODY_BYTES || is_buffer_time_over {
+            let is_wait_over = match tokio::time::timeout_at(wait_until.into(), frame).await {
+                Ok(None) => break,
+                Ok(Some(frame)) => {
+                    if let Ok(data) = frame?.into_data() {
+                        buffered.extend_from_slice(&data);
+                    }
+                    false
+                }
+                Err(_) if is_length_known => return Err(ExchangeError::Stalled),
+                Err(_) => true,
+            };
+            if is_wait_over || buffered.len() > MAX_BUFFERED_BODY_BYTES {
                 return Ok(BodyPrefix { bytes: buffered.freeze(), is_complete: false });
             }
         }
