Forward a response that has begun when the time of its attempt ends

A request whose response of unknown length begins in the last 0.1 s of its attempt's time got 502, though its first byte had come in time.

Cause: the end of the attempt's time dropped the exchange whole, with the head and what was buffered of the body.

Change: the exchange itself learns that its time is over. Before the head it ends without a response, as before; with a head of a body of unknown length it goes on as a stream. A body of known length up to 64 KiB ends as before, since its last byte counts. A request whose own body stalls ends as before.

--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -5,7 +5,7 @@
 //! written and read on the connection, from the part of the request's body that was sent, and from the
 //! status and headers of the response.
 
-use super::connection::{ExchangeError, ReceivedResponse, UpstreamConnection};
+use super::connection::{ExchangeError, ReceivedResponse, UpstreamConnection, WaitEnd};
 use super::pool::{ConnectionRequest, PooledConnection, Upstream};
 use super::proxied_request::ProxiedRequest;
 use super::response_body::{ResponseBody, StreamEnd, StreamedResponseBody};
@@ -165,12 +165,14 @@
             tokio::time::sleep(OVERDUE_READ_TIME).await;
         }
     };
-    tokio::select! {
-        biased;
-        received = connection.request(request) => Some(received),
-        () = overdue => None,
-        () = attempt.proxied.wait_until_body_stalled() => None,
-    }
+    let wait_end = async {
+        tokio::select! {
+            biased;
+            () = overdue => WaitEnd::Overdue,
+            () = attempt.proxied.wait_until_body_stalled() => WaitEnd::RequestStalled,
+        }
+    };
+    connection.request(request, wait_end).await
 }
 
 /// Returns the outcome of an attempt that was withheld after a connection was available.
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// Why the node no longer waits for the response to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WaitEnd {
+    /// The time of the attempt is over.
+    Overdue,
+    /// The request's own body is sent or accepted too slowly.
+    RequestStalled,
+}
+
 /// A response of an endpoint whose body has been read completely or in part.
 pub(super) struct ReceivedResponse {
     pub head: Parts,
@@ -71,11 +80,13 @@
     pub rest: Option<Incoming>,
 }
 
-/// The buffered first part of a response body.
-struct BodyPrefix {
-    bytes: Bytes,
-    /// Whether the prefix is the complete body.
-    is_complete: bool,
+/// Why the buffering of a response body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BufferingEnd {
+    /// The body is complete.
+    Complete,
+    /// The body may be long, and its rest is to be streamed.
+    Stream,
 }
 
 type HttpConnection = Pin<Box<Connection<TokioIo<Socket>, UpstreamBody>>>;
@@ -161,52 +172,75 @@
     }
 
     /// Sends one request, reads the head of its response, and buffers the body or its first part.
+    ///
+    /// Stops waiting when `wait_end` completes. Returns `None` then, unless the head of a response has come
+    /// that is streamed: what there is of the response is forwarded.
     pub(super) async fn request(
         &mut self,
         request: Request<UpstreamBody>,
-    ) -> Result<ReceivedResponse, ExchangeError> {
-        let (head, mut body) = self.send(request, MAX_BODY_BYTES).await?.into_parts();
-        let prefix = self.read_prefix(&mut body).await?;
-        Ok(ReceivedResponse {
+        wait_end: impl Future<Output = WaitEnd>,
+    ) -> Option<Result<ReceivedResponse, ExchangeError>> {
+        let mut wait_end = pin!(wait_end);
+        let response = tokio::select! {
+            biased;
+            response = self.send(request, MAX_BODY_BYTES) => response,
+            _ = &mut wait_end => return None,
+        };
+        let (head, mut body) = match response {
+            Ok(response) => response.into_parts(),
+            Err(error) => return Some(Err(error)),
+        };
+        let is_length_known = body.size_hint().exact().is_some();
+        let mut buffered = BytesMut::new();
+        let end = tokio::select! {
+            biased;
+            end = self.buffer(&mut body, &mut buffered) => end,
+            reason = wait_end => match reason {
+                WaitEnd::Overdue if !is_length_known => Ok(BufferingEnd::Stream),
+                WaitEnd::Overdue | WaitEnd::RequestStalled => return None,
+            },
+        };
+        Some(end.map(|end| ReceivedResponse {
             head,
-            prefix: prefix.bytes,
-            rest: Some(body).filter(|_| !prefix.is_complete),
-        })
+            prefix: buffered.freeze(),
+            rest: (end == BufferingEnd::Stream).then_some(body),
+        }))
     }
 
-    /// Buffers a body of up to [`MAX_BUFFERED_BODY_BYTES`] to its end.
+    /// Appends a body of up to [`MAX_BUFFERED_BODY_BYTES`] to `buffered`.
     ///
-    /// Returns an incomplete prefix, which may be empty, if the body is longer, or if its length is unknown
-    /// and it has not ended within [`UNKNOWN_LENGTH_BUFFER_TIME`]. Returns an error if a body of known length
-    /// stalls for [`SHORT_BODY_STALL_TIMEOUT`].
-    async fn read_prefix(&mut self, body: &mut Incoming) -> Result<BodyPrefix, ExchangeError> {
+    /// The rest is to be streamed if the body is longer, or if its length is unknown and it has not ended
+    /// within [`UNKNOWN_LENGTH_BUFFER_TIME`]. Returns an error if a body of known length stalls for
+    /// [`SHORT_BODY_STALL_TIMEOUT`].
+    async fn buffer(
+        &mut self,
+        body: &mut Incoming,
+        buffered: &mut BytesMut,
+    ) -> Result<BufferingEnd, ExchangeError> {
         let is_length_known = body.size_hint().exact().is_some();
         if body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64 {
-            return Ok(BodyPrefix { bytes: Bytes::new(), is_complete: false });
+            return Ok(BufferingEnd::Stream);
         }
         let stream_from = Instant::now() + UNKNOWN_LENGTH_BUFFER_TIME;
-        let mut buffered = BytesMut::new();
-        loop {
+        while buffered.len() <= MAX_BUFFERED_BODY_BYTES {
             let wait_until =
                 if is_length_known { Instant::now() + SHORT_BODY_STALL_TIMEOUT } else { stream_from };
             let frame = UpstreamConnection::drive(&mut self.connection, body.frame());
-            let is_wait_over = match tokio::time::timeout_at(wait_until.into(), frame).await {
-                Ok(None) => break,
+            match tokio::time::timeout_at(wait_until.into(), frame).await {
+                Ok(None) => {
+                    self.poll_io_once().await;
+                    return Ok(BufferingEnd::Complete);
+                }
                 Ok(Some(frame)) => {
                     if let Ok(data) = frame?.into_data() {
                         buffered.extend_from_slice(&data);
                     }
-                    false
                 }
                 Err(_) if is_length_known => return Err(ExchangeError::Stalled),
-                Err(_) => true,
-            };
-            if is_wait_over || buffered.len() > MAX_BUFFERED_BODY_BYTES {
-                return Ok(BodyPrefix { bytes: buffered.freeze(), is_complete: false });
+                Err(_) => break,
             }
         }
-        self.poll_io_once().await;
-        Ok(BodyPrefix { bytes: buffered.freeze(), is_complete: true })
+        Ok(BufferingEnd::Stream)
     }
 
     /// Sends one request and reads its complete response.
--- a/tests/node_slow_responses.rs
+++ b/tests/node_slow_responses.rs
@@ -4,8 +4,8 @@
 use node::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -111,6 +111,40 @@
     Ok(())
 }
 
+/// Guards against sound responses that are cut off at the end of their attempt's time: if the time ended while the node
+/// still buffered a response of unknown length, the node closed the connection to the endpoint and answered 502.
+#[test]
+fn a_long_response_that_begins_just_before_the_end_of_its_time_is_forwarded_whole() {
+    // An attempt for class `bid` lasts until its objective, 500 ms, and a response is buffered for 100 ms.
+    const SERVICE_TIME: Duration = Duration::from_millis(430);
+    const LATEST_HEAD: Duration = Duration::from_millis(490);
+    for framing in [ResponseFraming::Chunks, ResponseFraming::Close] {
+        let head_written_at = Arc::new(Mutex::new(Instant::now()));
+        let written_at = head_written_at.clone();
+        let endpoint = start_raw_endpoint(move |_, stream| {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            if Message::read(&mut reader).is_some() {
+                thread::sleep(SERVICE_TIME);
+                *written_at.lock().unwrap() = Instant::now();
+                let _ = write_response(&stream, Pace::LateBody, framing);
+            }
+        });
+        let discovery = DiscoveryStub::start(all_up(&[endpoint]));
+        let node = Node::start(discovery.address, |_| {});
+        wait_for("a response head is written in time", || {
+            let sent_at = Instant::now();
+            let received = receive(node.address, &request("bid", 900));
+            let head_after = head_written_at.lock().unwrap().duration_since(sent_at);
+            if head_after > LATEST_HEAD {
+                return false;
+            }
+            assert_eq!(received.status, "200", "{framing:?}: the head was written after {head_after:?}");
+            assert!(received.body == Some(patterned_body(LONG_BODY_BYTES)), "{framing:?}: cut off");
+            true
+        });
+    }
+}
+
 /// What a client received.
 struct Received {
     status: String,
