Count the heap, and refuse requests before the process exceeds its memory limit

A process that exceeds its limit is killed and loses all that it has taken.

Cause: limits were set for each consumer alone, a quarter of the memory for the bytes of bodies and a quarter for one buffer of each descriptor. Heads, the second buffer of a connection, the blocks behind the counted bytes and buffered responses were not counted: a client with 30,000 counted bytes of a body takes 112 KiB.

Above three eighths of the limit nothing more is buffered, so bodies are refused and responses streamed; above half of it requests are refused with 503, before a server has seen them. One client is accepted for each 96 KiB of the limit at most, since what is accepted still grows by its buffers.

--- a/src/node/frontend/body_collector.rs
+++ b/src/node/frontend/body_collector.rs
@@ -3,11 +3,13 @@
 //! The buffered bytes of all open requests share a fixed amount of memory. A body that is too long to be buffered
 //! is read up to its first part, and streamed from then on.
 
+use crate::system::memory::MemoryBudget;
 use crate::system::socket::Socket;
 use crate::upstream::{MAX_BUFFERED_BODY_BYTES, MinimumRate, RequestBody, StreamedRequestBody};
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -43,15 +45,30 @@
 /// Reads bodies, and limits the memory that they take up together.
 pub(super) struct BodyCollector {
     /// One permit per byte that the bodies of all open requests together may still take up.
-    memory: Arc<Semaphore>,
+    permits: Arc<Semaphore>,
+    memory: Rc<MemoryBudget>,
 }
 
 impl BodyCollector {
-    /// Creates a collector whose bodies may take up `memory_bytes` together. A value below
-    /// [`MAX_BUFFERED_BODY_BYTES`] counts as [`MAX_BUFFERED_BODY_BYTES`].
-    pub fn new(memory_bytes: usize) -> BodyCollector {
-        let permits = memory_bytes.clamp(MAX_BUFFERED_BODY_BYTES, Semaphore::MAX_PERMITS);
-        BodyCollector { memory: Arc::new(Semaphore::new(permits)) }
+    /// Creates a collector whose bodies may take up `body_memory_bytes` together, and no more than `memory`
+    /// allows. A value below [`MAX_BUFFERED_BODY_BYTES`] counts as [`MAX_BUFFERED_BODY_BYTES`].
+    pub fn new(body_memory_bytes: usize, memory: Rc<MemoryBudget>) -> BodyCollector {
+        let permits = body_memory_bytes.clamp(MAX_BUFFERED_BODY_BYTES, Semaphore::MAX_PERMITS);
+        BodyCollector { permits: Arc::new(Semaphore::new(permits)), memory }
+    }
+
+    /// Takes the permits for bytes that have been received.
+    fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, BodyReadError> {
+        if !self.memory.allows_buffering() {
+            return Err(BodyReadError::NoMemory);
+        }
+        let permits = self.permits.clone().try_acquire_many_owned(bytes as u32);
+        permits.map_err(|_| BodyReadError::NoMemory)
+    }
+
+    /// Returns whether there is memory for another request.
+    pub fn allows_request(&self) -> bool {
+        self.memory.allows_request()
     }
 
     /// Reads a complete body, or the first part of a body that is too long to be buffered. Memory is reserved
@@ -76,8 +93,7 @@
             // Trailers concern only the client's connection and are not forwarded.
             let Ok(data) = frame.map_err(|_| BodyReadError::Broken)?.into_data() else { continue };
             last_data_at = Instant::now();
-            let permits = self.memory.clone().try_acquire_many_owned(data.len() as u32);
-            let permits = permits.map_err(|_| BodyReadError::NoMemory)?;
+            let permits = self.reserve(data.len())?;
             match &mut memory {
                 Some(memory) => memory.merge(permits),
                 None => memory = Some(permits),
--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -8,6 +8,7 @@
 use super::trace_ids::{OpenTraceIds, TraceIdGuard};
 use crate::headers;
 use crate::system::clock::clamped_duration;
+use crate::system::memory::MemoryBudget;
 use crate::system::socket::Socket;
 use crate::transfer_coding::{TransferCoding, TransferCodingError, transfer_coding};
 use crate::upstream::{MAX_BODY_BYTES, ProxiedRequest, RequestBody};
@@ -63,6 +64,10 @@
         RequestRejection::new(StatusCode::BAD_REQUEST, text)
     }
 
+    fn no_memory(text: &'static str) -> RequestRejection {
+        RequestRejection::new(StatusCode::SERVICE_UNAVAILABLE, text)
+    }
+
     /// The rejection of a request that was not submitted before the process has to end.
     pub fn stopping() -> RequestRejection {
         RequestRejection::new(StatusCode::SERVICE_UNAVAILABLE, "the node stops\n")
@@ -123,9 +128,7 @@
 impl From<BodyReadError> for RequestRejection {
     fn from(error: BodyReadError) -> RequestRejection {
         match error {
-            BodyReadError::NoMemory => {
-                RequestRejection::new(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body\n")
-            }
+            BodyReadError::NoMemory => RequestRejection::no_memory("no memory for the body\n"),
             BodyReadError::Broken => RequestRejection::malformed("the body cannot be read\n"),
             BodyReadError::TooSlow => {
                 RequestRejection::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")
@@ -145,13 +148,15 @@
 impl RequestReader {
     /// Creates a reader for requests of these classes. `body_memory_bytes` is the memory that the buffered
     /// bodies, and the buffered parts of streamed bodies, of all open requests may take up together. A value
-    /// below that of one buffered body counts as that of one.
+    /// below that of one buffered body counts as that of one. Requests are rejected if `memory` does not allow
+    /// another one.
     pub fn new(
         names: Rc<NameIndex>,
         classes: Vec<RequestClass>,
         body_memory_bytes: usize,
+        memory: Rc<MemoryBudget>,
     ) -> RequestReader {
-        let bodies = BodyCollector::new(body_memory_bytes);
+        let bodies = BodyCollector::new(body_memory_bytes, memory);
         RequestReader { names, classes, trace_ids: OpenTraceIds::default(), bodies }
     }
 
@@ -164,6 +169,9 @@
         body: Incoming,
         socket: &Socket,
     ) -> Result<ParsedRequest, RequestRejection> {
+        if !self.bodies.allows_request() {
+            return Err(RequestRejection::no_memory("no memory for the request\n"));
+        }
         let trace_id = trace_id(&head)?;
         let class_index = self.names.class_index(header_text(&head, headers::CLASS).unwrap_or_default());
         let class = self.classes.get(class_index);
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -19,10 +19,11 @@
 use crate::system::descriptors::{self, Descriptors};
 use crate::system::inherited_listener::InheritedListenerError;
 use crate::system::listener::{ADMIN_BACKLOG, CLIENT_BACKLOG, listen};
+use crate::system::memory::{self, MemoryBudget};
 use crate::system::signals::SignalReceiver;
 use crate::system::syscall_errors::retry_transient;
 use crate::system::{listener, receive_timestamp};
-use crate::upstream::Upstream;
+use crate::upstream::{ConnectionTimeouts, Upstream};
 use serde_json::Value;
 use std::cell::Cell;
 use std::io;
@@ -102,6 +103,7 @@
     max_buffer_bytes: usize,
     /// The memory for the bodies of all open requests, in bytes.
     body_memory_bytes: usize,
+    memory: Rc<MemoryBudget>,
 }
 
 /// Runs the node until SIGTERM, and then until the requests that it has accepted are answered or have no time
@@ -171,7 +173,7 @@
 /// limits, because a second process may run in parallel and the limits apply to both together.
 fn divide_resources(config: &Config, is_listener_shared: bool) -> Resources {
     let processes = if is_listener_shared { 2 } else { 1 };
-    let memory = config.memory_bytes / processes;
+    let memory_bytes = config.memory_bytes / processes;
     // If the configured limit were above the system's, clients could use up all descriptors that the system
     // allows, and none would be left for other uses.
     let system_limit = descriptors::system_limit().unwrap_or(usize::MAX);
@@ -180,10 +182,14 @@
     // clients.
     let admin_descriptors = if config.admin_listen.is_some() { admin::MAX_CONNECTIONS + 1 } else { 0 };
     Resources {
-        descriptors: Descriptors::new(max_descriptors.saturating_sub(admin_descriptors)),
-        max_buffer_bytes: (memory / BUFFER_MEMORY_DIVISOR / max_descriptors.max(1))
+        descriptors: Descriptors::new(
+            max_descriptors.saturating_sub(admin_descriptors),
+            memory::max_clients(memory_bytes),
+        ),
+        max_buffer_bytes: (memory_bytes / BUFFER_MEMORY_DIVISOR / max_descriptors.max(1))
             .clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES),
-        body_memory_bytes: memory / BODY_MEMORY_DIVISOR,
+        body_memory_bytes: memory_bytes / BODY_MEMORY_DIVISOR,
+        memory: Rc::new(MemoryBudget::new(memory_bytes)),
     }
 }
 
@@ -210,9 +216,9 @@
         is_listener_shared: bool,
         hangup: SignalReceiver,
     ) -> Result<Node, StartupError> {
-        let Resources { descriptors, max_buffer_bytes, body_memory_bytes } = resources;
+        let Resources { descriptors, max_buffer_bytes, body_memory_bytes, memory } = resources;
         let settings = config.settings;
-        let upstream = open_upstream(&settings, descriptors.clone(), max_buffer_bytes);
+        let upstream = open_upstream(&settings, descriptors.clone(), max_buffer_bytes, memory.clone());
         let (driver, watch_requests) =
             start_driver(&settings, config.seed, upstream.clone(), sockets.peers.clone())?;
         let names = Rc::new(config.names);
@@ -238,7 +244,7 @@
             upstream,
             sockets.peers,
         );
-        let reader = RequestReader::new(names, settings.classes, body_memory_bytes);
+        let reader = RequestReader::new(names, settings.classes, body_memory_bytes, memory);
         let max_open_requests = settings.max_open_requests as usize;
         let frontend =
             Frontend::new(driver.clone(), reader, max_open_requests, max_buffer_bytes, descriptors.clone());
@@ -330,9 +336,13 @@
     settings: &Settings,
     descriptors: Rc<Descriptors>,
     max_buffer_bytes: usize,
+    memory: Rc<MemoryBudget>,
 ) -> Rc<Upstream> {
-    let connect_timeout_ms = settings.connect_timeout_ms;
-    Upstream::new(descriptors, connect_timeout_ms, settings.idle_connection_timeout_ms, max_buffer_bytes)
+    let timeouts = ConnectionTimeouts {
+        connect_ms: settings.connect_timeout_ms,
+        idle_ms: settings.idle_connection_timeout_ms,
+    };
+    Upstream::new(descriptors, timeouts, max_buffer_bytes, memory)
 }
 
 /// Passes the cached endpoint list, which may be absent, to the driver. Returns the version of the list if
--- a/src/node/system/descriptors.rs
+++ b/src/node/system/descriptors.rs
@@ -41,18 +41,22 @@
     /// Permits in use by clients; part of `used`.
     used_by_clients: Cell<usize>,
     limit: usize,
+    max_clients: usize,
     freed: Notify,
     endpoint_connection_reclaim: RefCell<Option<Reclaim>>,
     client_reclaim: RefCell<Option<Reclaim>>,
 }
 
 impl Descriptors {
-    /// Creates the permits of a process that may use `descriptors` descriptors in all.
-    pub fn new(descriptors: usize) -> Rc<Descriptors> {
+    /// Creates the permits of a process that may use `descriptors` descriptors in all. At most `max_clients` of
+    /// them are for clients, or fewer: see [`Descriptors::take_for_client`].
+    pub fn new(descriptors: usize, max_clients: usize) -> Rc<Descriptors> {
+        let limit = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_PERMITS);
         Rc::new(Descriptors {
             used: Cell::new(0),
             used_by_clients: Cell::new(0),
-            limit: descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_PERMITS),
+            limit,
+            max_clients: max_clients.min(limit - limit / KEPT_FROM_CLIENTS_DIVISOR),
             freed: Notify::new(),
             endpoint_connection_reclaim: RefCell::default(),
             client_reclaim: RefCell::default(),
@@ -103,9 +107,8 @@
     /// attempt for a client that is connected is worth more than another client, and a connection to an
     /// endpoint costs more than one to a client.
     pub async fn take_for_client(self: &Rc<Self>) -> DescriptorPermit {
-        let max_clients = self.limit - self.limit / KEPT_FROM_CLIENTS_DIVISOR;
         loop {
-            let is_below_client_limit = self.used_by_clients.get() < max_clients;
+            let is_below_client_limit = self.used_by_clients.get() < self.max_clients;
             if is_below_client_limit && self.used.get() < self.limit {
                 break;
             }
--- a/src/node/system/mod.rs
+++ b/src/node/system/mod.rs
@@ -11,6 +11,7 @@
 pub mod inherited_listener;
 mod length_headers;
 pub mod listener;
+pub mod memory;
 pub mod receive_timestamp;
 pub mod retry;
 pub mod signals;
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -11,6 +11,7 @@
 use super::response_body::{ResponseBody, StreamEnd, StreamedResponseBody};
 use crate::headers;
 use crate::observability::request_trace::{ResponseFault, WithheldReason};
+use crate::system::memory::MemoryBudget;
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -129,7 +130,7 @@
             return AttemptEnd::without_response(outcome_of_withheld_attempt(reason));
         }
         let bytes_before = ByteCounts::of(&connection);
-        let received = exchange_until_overdue(attempt, &mut connection).await;
+        let received = exchange_until_overdue(attempt, &mut connection, &self.memory).await;
         // Without a response it is not known whether the connection was intact, so its use is not recorded.
         if let Some(received) = &received {
             let is_broken = matches!(received, Err(ExchangeError::Broken(_)));
@@ -154,6 +155,7 @@
 async fn exchange_until_overdue(
     attempt: &Attempt,
     connection: &mut UpstreamConnection,
+    memory: &MemoryBudget,
 ) -> Option<Result<ReceivedResponse, ExchangeError>> {
     let time_left = attempt.deadline.saturating_duration_since(Instant::now());
     let request = attempt.proxied.to_endpoint(attempt.address, time_left);
@@ -172,7 +174,7 @@
             () = attempt.proxied.wait_until_body_stalled() => WaitEnd::RequestStalled,
         }
     };
-    connection.request(request, wait_end).await
+    connection.request(request, wait_end, memory).await
 }
 
 /// Returns the outcome of an attempt that was withheld after a connection was available.
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -6,6 +6,7 @@
 use super::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::system::connect::{self, ConnectError};
 use crate::system::descriptors::DescriptorPermit;
+use crate::system::memory::MemoryBudget;
 use crate::system::socket::Socket;
 use crate::transfer_coding::transfer_coding;
 use bytes::{Bytes, BytesMut};
@@ -173,12 +174,13 @@
 
     /// Sends one request, reads the head of its response, and buffers the body or its first part.
     ///
-    /// Stops waiting when `wait_end` completes. Returns `None` then, unless the head of a response has come
+    /// A body is buffered only while `memory` allows it. Stops waiting when `wait_end` completes. Returns `None` then, unless the head of a response has come
     /// that is streamed: what there is of the response is forwarded.
     pub(super) async fn request(
         &mut self,
         request: Request<UpstreamBody>,
         wait_end: impl Future<Output = WaitEnd>,
+        memory: &MemoryBudget,
     ) -> Option<Result<ReceivedResponse, ExchangeError>> {
         let mut wait_end = pin!(wait_end);
         let response = tokio::select! {
@@ -194,7 +196,7 @@
         let mut buffered = BytesMut::new();
         let end = tokio::select! {
             biased;
-            end = self.buffer(&mut body, &mut buffered) => end,
+            end = self.buffer(&mut body, &mut buffered, memory) => end,
             reason = wait_end => match reason {
                 WaitEnd::Overdue if !is_length_known => Ok(BufferingEnd::Stream),
                 WaitEnd::Overdue | WaitEnd::RequestStalled => return None,
@@ -209,20 +211,21 @@
 
     /// Appends a body of up to [`MAX_BUFFERED_BODY_BYTES`] to `buffered`.
     ///
-    /// The rest is to be streamed if the body is longer, or if its length is unknown and it has not ended
+    /// The rest is to be streamed if the body is longer, if `memory` does not allow more of it, or if its length is unknown and it has not ended
     /// within [`UNKNOWN_LENGTH_BUFFER_TIME`]. Returns an error if a body of known length stalls for
     /// [`SHORT_BODY_STALL_TIMEOUT`].
     async fn buffer(
         &mut self,
         body: &mut Incoming,
         buffered: &mut BytesMut,
+        memory: &MemoryBudget,
     ) -> Result<BufferingEnd, ExchangeError> {
         let is_length_known = body.size_hint().exact().is_some();
         if body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64 {
             return Ok(BufferingEnd::Stream);
         }
         let stream_from = Instant::now() + UNKNOWN_LENGTH_BUFFER_TIME;
-        while buffered.len() <= MAX_BUFFERED_BODY_BYTES {
+        while buffered.len() <= MAX_BUFFERED_BODY_BYTES && memory.allows_buffering() {
             let wait_until =
                 if is_length_known { Instant::now() + SHORT_BODY_STALL_TIMEOUT } else { stream_from };
             let frame = UpstreamConnection::drive(&mut self.connection, body.frame());
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -21,7 +21,7 @@
 pub use attempt::{Attempt, AttemptEnd, AttemptResult, UpstreamResponse};
 pub use connection::{ExchangeError, UpstreamConnection};
 pub use minimum_rate::MinimumRate;
-pub use pool::Upstream;
+pub use pool::{ConnectionTimeouts, Upstream};
 pub use proxied_request::{ProxiedRequest, RequestBody};
 pub use request_body::{BodyCompletion, StreamedRequestBody, UpstreamBody};
 pub use response_body::ResponseBody;
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -10,6 +10,7 @@
 use crate::system::clock::clamped_duration;
 use crate::system::connect::ConnectError;
 use crate::system::descriptors::Descriptors;
+use crate::system::memory::MemoryBudget;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -51,6 +52,15 @@
     pub send_by: Instant,
 }
 
+/// The timeouts of connections in the settings, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionTimeouts {
+    /// The time within which a connection has to be established.
+    pub connect_ms: f64,
+    /// The time after which endpoints close idle connections.
+    pub idle_ms: f64,
+}
+
 /// The pool of idle connections to all endpoints.
 pub struct Upstream {
     /// The idle connections to each endpoint, ordered by `idle_since`, with the longest idle one first.
@@ -63,26 +73,28 @@
     idle_ages: RefCell<IdleAgeStatistics>,
     /// The maximum size of a connection's buffer, in bytes.
     max_buffer_bytes: usize,
+    pub(super) memory: Rc<MemoryBudget>,
 }
 
 impl Upstream {
-    /// Creates an empty pool. `idle_timeout_ms` is the time after which endpoints close idle connections.
-    /// `max_buffer_bytes` is the maximum size of a connection's buffer.
+    /// Creates an empty pool. `max_buffer_bytes` is the maximum size of a connection's buffer. Responses are
+    /// buffered as far as `memory` allows.
     ///
     /// If descriptors run out, `descriptors` closes idle connections of the pool to free some.
     pub fn new(
         descriptors: Rc<Descriptors>,
-        connect_timeout_ms: f64,
-        idle_timeout_ms: f64,
+        timeouts: ConnectionTimeouts,
         max_buffer_bytes: usize,
+        memory: Rc<MemoryBudget>,
     ) -> Rc<Upstream> {
         let upstream = Rc::new(Upstream {
             idle: RefCell::default(),
             descriptors: descriptors.clone(),
-            connect_timeout: clamped_duration(connect_timeout_ms, MAX_TIMEOUT_MS),
-            idle_timeout: clamped_duration(idle_timeout_ms * IDLE_TIMEOUT_FRACTION, MAX_TIMEOUT_MS),
+            connect_timeout: clamped_duration(timeouts.connect_ms, MAX_TIMEOUT_MS),
+            idle_timeout: clamped_duration(timeouts.idle_ms * IDLE_TIMEOUT_FRACTION, MAX_TIMEOUT_MS),
             idle_ages: RefCell::new(IdleAgeStatistics::new()),
             max_buffer_bytes,
+            memory,
         });
         let weak = Rc::downgrade(&upstream);
         let reclaim = move || weak.upgrade().is_some_and(|upstream| upstream.close_longest_idle());
--- a/tests/node/node_process.rs
+++ b/tests/node/node_process.rs
@@ -206,8 +206,17 @@
 
     /// The resident memory of the process, in KiB.
     pub fn resident_memory_kb(&self) -> u64 {
+        self.memory_status_kb("VmRSS")
+    }
+
+    /// The highest resident memory of the process so far, in KiB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        self.memory_status_kb("VmHWM")
+    }
+
+    fn memory_status_kb(&self, field: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|l| l.starts_with("VmRSS")).unwrap();
+        let line = status.lines().find(|l| l.starts_with(field)).unwrap();
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
