Let other sockets go first before a request that was read ahead

Cause: hyper serves up to 16 requests that it has read in one turn of a connection's task, and the task set takes up to 61 turns of its tasks before the poller is asked. Polling it more often (event_interval 1) changed nothing, since one turn of the task set is the unit.

Change: before a request that was read together with the one before, the connection yields until the poller has been asked. A client that sends one request at a time never waits.

--- a/src/node/frontend/client_connection.rs
+++ b/src/node/frontend/client_connection.rs
@@ -64,6 +64,8 @@
     response_ended_at: Cell<Instant>,
     /// The number of bytes read from the socket at `response_ended_at`.
     bytes_read_when_idle: Cell<u64>,
+    /// The number of bytes read from the socket when the last request head was complete.
+    bytes_read_at_last_head: Cell<u64>,
     /// When [`ClientConnection::partial_request_seen_for`] was first called for the request head that is
     /// being read. It is called only if the node wants to close connections, for example because
     /// descriptors are scarce.
@@ -92,6 +94,7 @@
             queued_since: Cell::new(queued_since),
             response_ended_at: Cell::new(Instant::now()),
             bytes_read_when_idle: Cell::new(0),
+            bytes_read_at_last_head: Cell::new(0),
             partial_request_seen_at: Cell::new(None),
             is_closing: Cell::new(false),
             reported_content_lengths: Cell::new(0),
@@ -146,6 +149,13 @@
         self.is_closing.get()
     }
 
+    /// Records that a request head is complete. Returns whether it was read together with the one before, so
+    /// that the connection has not waited for the client in between.
+    pub fn record_head(&self) -> bool {
+        let bytes_read = self.socket.bytes_read();
+        self.bytes_read_at_last_head.replace(bytes_read) == bytes_read
+    }
+
     /// Returns whether bytes have been read since the connection became idle. As long as no request is in
     /// progress, they are part of an incomplete request head.
     pub fn has_partial_request(&self) -> bool {
--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -196,7 +196,13 @@
         let has_conflicting_framing = client.has_removed_content_length(&request);
         client.last_trace_id.replace(request.headers().get(headers::TRACE_ID).cloned());
         let in_progress = RequestInProgress::new(client.clone());
+        let was_read_ahead = client.record_head();
         async move {
+            if was_read_ahead {
+                // hyper serves pipelined requests without a wait in between, and a client that sends small ones at
+                // full speed would occupy the thread. The yield lets all other sockets and timers go first.
+                tokio::task::yield_now().await;
+            }
             let mut response = if has_conflicting_framing {
                 self.count_rejection(CONFLICTING_FRAMING);
                 closing(StatusCode::BAD_REQUEST, CONFLICTING_FRAMING)
--- a/tests/node_hostile_clients.rs
+++ b/tests/node_hostile_clients.rs
@@ -5,8 +5,10 @@
 mod node;
 
 use node::*;
-use std::io::Read;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -196,3 +198,42 @@
         try_request(node.address, &[head.as_bytes(), &body].concat()).is_some_and(|m| m.status() == 200)
     });
 }
+
+/// Guards against a client that occupies the node with small pipelined requests: hundreds of them were answered before
+/// the node looked at any other socket again, and others waited that long at each step of their requests.
+#[test]
+fn a_client_that_pipelines_small_requests_at_full_speed_does_not_delay_others() {
+    const PIPELINED: &[u8] = b"GET /up HTTP/1.1\r\nHost: n\r\n\r\n";
+    // Without a turn for others, the node answers about 1000 requests in a row.
+    const MAX_ANSWERED_MEANWHILE: usize = 500;
+    const TRIES: usize = 50;
+    let discovery =
+        DiscoveryStub::start(all_up(&[start_endpoint(&RequestRecord::default(), |_, _| ok(b"x"))]));
+    let node = Node::start(discovery.address, |_| {});
+    let mut writer = TcpStream::connect(node.address).unwrap();
+    let mut reader = writer.try_clone().unwrap();
+    thread::spawn(move || while writer.write_all(&PIPELINED.repeat(500)).is_ok() {});
+    let answered = Arc::new(AtomicUsize::new(0));
+    let counter = answered.clone();
+    thread::spawn(move || {
+        let mut bytes = vec![0; 64 * 1024];
+        while let Ok(length) = reader.read(&mut bytes)
+            && length > 0
+        {
+            // Each head ends with an empty line.
+            let heads = bytes[..length].windows(4).filter(|window| *window == b"\r\n\r\n").count();
+            counter.fetch_add(heads, Ordering::SeqCst);
+        }
+    });
+    wait_for("pipelined requests are answered", || answered.load(Ordering::SeqCst) > 1000);
+    let mut answered_meanwhile: Vec<usize> = (0..TRIES)
+        .map(|_| {
+            let before = answered.load(Ordering::SeqCst);
+            assert_eq!(node.readiness_status(), 200);
+            answered.load(Ordering::SeqCst) - before
+        })
+        .collect();
+    answered_meanwhile.sort_unstable();
+    let median = answered_meanwhile[TRIES / 2];
+    assert!(median < MAX_ANSWERED_MEANWHILE, "{median} pipelined requests were answered first");
+}
