Do not accept a trace id again whose request may have run and must not run twice

Cause: an id was reserved for as long as its request was open, and a request ends when its client leaves, whatever a server still does or has done.

Whether a request may have run is told by the records of its attempts. An unsafe request, or one whose servers do not all share the key, is not accepted again; one whose key all servers know is accepted for as long as its repeat ends within the time for which they know the key; one that is safe is always accepted. A request that was refused or never sent does not count. 409, as for an open id.

--- a/src/node/driver/request_table.rs
+++ b/src/node/driver/request_table.rs
@@ -99,6 +99,13 @@
         self.trace.record_attempt_requested(self.next_attempt(), endpoint);
         self.cancel_handles.push(Some(cancel_handle));
         self.attempts.push(AttemptRecord { location, sent_at_ms: now_ms, outcome: None });
+        self.update_may_have_run();
+    }
+
+    /// Tells whether an endpoint may have executed the request. An attempt in flight may be executed.
+    fn update_may_have_run(&self) {
+        let may_have_run = self.attempts.iter().any(|attempt| !attempt.was_not_executed());
+        self.proxied.may_have_run.set(may_have_run);
     }
 
     /// Records the end of an attempt, and why its response was no answer. Returns `false` if the attempt is
@@ -118,6 +125,7 @@
         if let Some(record) = self.attempts.get_mut(attempt as usize) {
             record.outcome = Some(outcome);
         }
+        self.update_may_have_run();
         true
     }
 }
--- a/src/node/frontend/mod.rs
+++ b/src/node/frontend/mod.rs
@@ -16,6 +16,7 @@
 mod eviction;
 mod listener;
 mod readiness;
+mod recent_ids;
 mod request_cutoff;
 mod request_reader;
 mod responses;
--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -5,7 +5,7 @@
 
 use super::body_collector::{BodyCollector, BodyReadError, CollectedBody, IncomingBody};
 use super::responses::{ClientResponse, closing, full};
-use super::trace_ids::{OpenTraceIds, TraceIdGuard};
+use super::trace_ids::{TraceIdConflict, TraceIdGuard, TraceIds};
 use crate::headers;
 use crate::system::clock::clamped_duration;
 use crate::system::memory::MemoryBudget;
@@ -19,6 +19,7 @@
 };
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
@@ -125,6 +126,18 @@
     }
 }
 
+impl From<TraceIdConflict> for RequestRejection {
+    fn from(conflict: TraceIdConflict) -> RequestRejection {
+        RequestRejection::new(
+            StatusCode::CONFLICT,
+            match conflict {
+                TraceIdConflict::Open => "an open request has this X-Trace-Id\n",
+                TraceIdConflict::MayHaveRun => "a request with this X-Trace-Id may have run\n",
+            },
+        )
+    }
+}
+
 impl From<BodyReadError> for RequestRejection {
     fn from(error: BodyReadError) -> RequestRejection {
         match error {
@@ -141,7 +154,7 @@
 pub struct RequestReader {
     names: Rc<NameIndex>,
     classes: Vec<RequestClass>,
-    trace_ids: OpenTraceIds,
+    trace_ids: TraceIds,
     bodies: BodyCollector,
 }
 
@@ -157,7 +170,7 @@
         memory: Rc<MemoryBudget>,
     ) -> RequestReader {
         let bodies = BodyCollector::new(body_memory_bytes, memory);
-        RequestReader { names, classes, trace_ids: OpenTraceIds::default(), bodies }
+        RequestReader { names, classes, trace_ids: TraceIds::new(), bodies }
     }
 
     /// Reads and checks a request. Returns the rejection if the request is not valid, if its body does not
@@ -192,12 +205,11 @@
         // the client is still sending a streamed body, the deadline and the expiry are postponed accordingly.
         let arrived_at = arrival.queued_since.unwrap_or_else(Instant::now);
         // The id is reserved only now, so that a client that withholds its body does not occupy it.
-        let trace_id_guard = self.trace_ids.reserve(trace_id);
-        let conflict = RequestRejection::new(StatusCode::CONFLICT, "an open request has this X-Trace-Id\n");
+        let trace_id_guard = self.trace_ids.reserve(trace_id, class)?;
         Ok(ParsedRequest {
-            trace_id_guard: trace_id_guard.ok_or(conflict)?,
             request: balancer_request(&head, class_index, arrived_at),
-            proxied: proxied_request(head, body, memory),
+            proxied: proxied_request(head, body, memory, trace_id_guard.may_have_run()),
+            trace_id_guard,
             deadline: arrived_at + timeout.saturating_sub(BALANCER_DEADLINE_MARGIN),
             expires_at: arrived_at + timeout.saturating_sub(EXPIRY_MARGIN),
         })
@@ -274,13 +286,19 @@
 }
 
 /// Returns the request as it is forwarded. `memory` holds the permits for the buffered part of `body`.
-fn proxied_request(head: Parts, body: RequestBody, memory: Option<OwnedSemaphorePermit>) -> ProxiedRequest {
+fn proxied_request(
+    head: Parts,
+    body: RequestBody,
+    memory: Option<OwnedSemaphorePermit>,
+    may_have_run: Rc<Cell<bool>>,
+) -> ProxiedRequest {
     let path = head.uri.path_and_query().cloned();
     ProxiedRequest {
         method: head.method,
         target: path.map_or_else(|| Uri::from_static("/"), Uri::from),
         headers: without_hop_by_hop_headers(head.headers),
         body,
+        may_have_run,
         _memory_permit: memory,
     }
 }
--- a/src/node/frontend/trace_ids.rs
+++ b/src/node/frontend/trace_ids.rs
@@ -1,30 +1,123 @@
-//! Ensures that no two open requests have the same trace id.
+//! Ensures that a request does not run twice because its trace id comes again.
+//!
+//! A client sends a trace id once. If an id comes again, for example because its client has disconnected and
+//! another one repeats the request, an endpoint may still execute the first request or have executed it. Two
+//! requests with the same id are therefore never open at the same time. An id whose request may have run, and
+//! must not run twice, is not accepted again either, as long as [`RecentIds`] remembers it.
 
+use super::recent_ids::RecentIds;
+use crate::system::clock::clamped_duration;
 use hyper::header::HeaderValue;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Instant;
+use wheelpath::policy::{Idempotency, RequestClass};
+use wheelpath::stable_hash::stable_hash_bytes;
 
-/// The set of the trace ids of all open requests. Clones share the set.
-#[derive(Clone, Default)]
-pub(super) struct OpenTraceIds(Rc<RefCell<HashSet<HeaderValue>>>);
+/// The upper bound for the time in which a request may be repeated by its key, in milliseconds (one day).
+const MAX_REPEAT_WINDOW_MS: f64 = 86_400_000.0;
+
+/// Why a trace id is not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TraceIdConflict {
+    /// An open request has this id.
+    Open,
+    /// A request with this id may have run.
+    MayHaveRun,
+}
+
+/// The trace ids that are not accepted now. Clones share them.
+#[derive(Clone)]
+pub(super) struct TraceIds(Rc<TraceIdsInner>);
+
+struct TraceIdsInner {
+    /// The ids of all open requests.
+    open: RefCell<HashSet<HeaderValue>>,
+    /// The hashes of the ids whose requests may have run and must not run twice.
+    executed: RefCell<RecentIds>,
+}
+
+/// For how long after a request another one with the same id may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RepeatWindow {
+    /// It may run at any time.
+    Unlimited,
+    /// It may run while all endpoints recognize it as a repeat by the idempotency key.
+    Until(Instant),
+    /// It must not run.
+    Closed,
+}
+
+impl RepeatWindow {
+    /// Returns the window of a request of this class that arrives now. The repeat needs time to be answered, so
+    /// it has to come before the end of the deduplication window.
+    fn of(class: &RequestClass) -> RepeatWindow {
+        match class.idempotency {
+            Idempotency::Idempotent => RepeatWindow::Unlimited,
+            idempotency if idempotency.allows_client_retry() => {
+                let window_ms = (class.deduplication_window_ms - class.deadline_ms).max(0.0);
+                RepeatWindow::Until(Instant::now() + clamped_duration(window_ms, MAX_REPEAT_WINDOW_MS))
+            }
+            _ => RepeatWindow::Closed,
+        }
+    }
+}
 
 /// The reservation of a trace id, which ends when the guard is dropped.
 pub(super) struct TraceIdGuard {
-    ids: OpenTraceIds,
+    ids: TraceIds,
     id: HeaderValue,
+    repeat_window: RepeatWindow,
+    /// Whether an endpoint may have executed the request.
+    may_have_run: Rc<Cell<bool>>,
+}
+
+impl TraceIds {
+    /// Creates the ids of a process that has accepted no request.
+    pub fn new() -> TraceIds {
+        TraceIds(Rc::new(TraceIdsInner {
+            open: RefCell::default(),
+            executed: RefCell::new(RecentIds::new()),
+        }))
+    }
+
+    /// Reserves the trace id of a request of this class.
+    ///
+    /// # Errors
+    /// An open request has the same id, or a request with it may have run and must not run again.
+    pub fn reserve(&self, id: HeaderValue, class: &RequestClass) -> Result<TraceIdGuard, TraceIdConflict> {
+        if self.0.open.borrow().contains(&id) {
+            return Err(TraceIdConflict::Open);
+        }
+        if self.0.executed.borrow().rejects(stable_hash_bytes(id.as_bytes())) {
+            return Err(TraceIdConflict::MayHaveRun);
+        }
+        let repeat_window = RepeatWindow::of(class);
+        self.0.open.borrow_mut().insert(id.clone());
+        Ok(TraceIdGuard { ids: self.clone(), id, repeat_window, may_have_run: Rc::default() })
+    }
 }
 
-impl OpenTraceIds {
-    /// Reserves a trace id. Returns `None` if an open request has the same id.
-    pub fn reserve(&self, id: HeaderValue) -> Option<TraceIdGuard> {
-        let is_new = self.0.borrow_mut().insert(id.clone());
-        is_new.then(|| TraceIdGuard { ids: self.clone(), id })
+impl TraceIdGuard {
+    /// Returns the flag that tells whether an endpoint may have executed the request. The driver sets it.
+    pub fn may_have_run(&self) -> Rc<Cell<bool>> {
+        self.may_have_run.clone()
     }
 }
 
 impl Drop for TraceIdGuard {
     fn drop(&mut self) {
-        self.ids.0.borrow_mut().remove(&self.id);
+        let ids = &self.ids.0;
+        ids.open.borrow_mut().remove(&self.id);
+        if !self.may_have_run.get() {
+            return;
+        }
+        let rejected_from = match self.repeat_window {
+            RepeatWindow::Unlimited => return,
+            RepeatWindow::Until(end) => end,
+            RepeatWindow::Closed => Instant::now(),
+        };
+        ids.executed.borrow_mut().insert(stable_hash_bytes(self.id.as_bytes()), rejected_from);
     }
 }
--- a/src/node/observability/invariants.rs
+++ b/src/node/observability/invariants.rs
@@ -25,7 +25,7 @@
 
 impl AttemptRecord {
     /// Returns `true` if it is certain that the endpoint did not execute the request.
-    fn was_not_executed(&self) -> bool {
+    pub fn was_not_executed(&self) -> bool {
         self.outcome.is_some_and(AttemptOutcome::proves_not_executed)
     }
 }
--- a/src/node/upstream/proxied_request.rs
+++ b/src/node/upstream/proxied_request.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Uri};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
     pub headers: HeaderMap,
     /// The body, without the trailers that a streamed body may have.
     pub body: RequestBody,
+    /// Whether an endpoint may have executed the request. The driver sets it with each attempt.
+    pub may_have_run: Rc<Cell<bool>>,
     /// The share of the memory for request bodies that this body takes. It is released when the request is
     /// dropped. `None` if the body takes none.
     pub _memory_permit: Option<OwnedSemaphorePermit>,
--- a/src/stable_hash.rs
+++ b/src/stable_hash.rs
@@ -15,9 +15,14 @@
 /// The result is the same on every node and in every build. It must never change: nodes have to agree on it,
 /// and stored snapshots identify endpoints by it.
 pub fn stable_hash(name: &str) -> u64 {
+    stable_hash_bytes(name.as_bytes())
+}
+
+/// Returns the hash of a name that need not be valid UTF-8. See [`stable_hash`].
+pub fn stable_hash_bytes(name: &[u8]) -> u64 {
     let mut hash = FNV_OFFSET_BASIS;
-    for byte in name.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    for byte in name {
+        hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
     }
     hash ^= hash >> 32;
     hash = hash.wrapping_mul(MIX_MULTIPLIER);
--- a/tests/node_hostile_clients.rs
+++ b/tests/node_hostile_clients.rs
@@ -237,3 +237,51 @@
     let median = answered_meanwhile[TRIES / 2];
     assert!(median < MAX_ANSWERED_MEANWHILE, "{median} pipelined requests were answered first");
 }
+
+/// Guards against a request that runs twice because its id comes again after its client had left: the id counted as free
+/// from that moment on, while an endpoint still executed the first request.
+#[test]
+fn a_trace_id_whose_request_may_have_run_is_not_accepted_again() {
+    let record = RequestRecord::default();
+    let endpoint = start_endpoint(&record, |_, _| {
+        thread::sleep(Duration::from_millis(300));
+        ok(b"x")
+    });
+    let discovery = DiscoveryStub::start(all_up(&[endpoint]));
+    let node = Node::start(discovery.address, |_| {});
+    let abandoned = request("bid", 900);
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&abandoned));
+    wait_for("the request reaches the endpoint", || record.count() == 1);
+    drop(client);
+    // The second one comes long after the endpoint has executed the first.
+    for pause in [Duration::from_millis(50), Duration::from_millis(600)] {
+        thread::sleep(pause);
+        let rejection = send_request(node.address, &abandoned);
+        assert_eq!((rejection.status(), rejection.header("connection")), (409, Some("close")));
+    }
+    let answered = request("bid", 900);
+    assert_eq!(send_request(node.address, &answered).status(), 200);
+    assert_eq!(send_request(node.address, &answered).status(), 409);
+    assert_eq!(record.count(), 2, "a request ran twice");
+}
+
+/// Guards the neighbour of that promise: an id is accepted again if no endpoint has seen its request, or if the request
+/// may run twice.
+#[test]
+fn a_trace_id_whose_request_did_not_run_or_may_run_twice_is_accepted_again() {
+    let record = RequestRecord::default();
+    let endpoint = start_endpoint(&record, |_, _| ok(b"x"));
+    let discovery = DiscoveryStub::start(Vec::new());
+    let mut node = Node::launch(discovery.address, |_| {}, "exec \"$0\"");
+    wait_for("the node listens", || node.readiness_status() == 503);
+    let (unsafe_request, safe_request) = (request("bid", 900), request("page", 4000));
+    assert_eq!(send_request(node.address, &unsafe_request).status(), 503);
+    let with_endpoint = DiscoveryStub::start(all_up(&[endpoint]));
+    node.reload(with_endpoint.address);
+    wait_for("/up is 200", || node.readiness_status() == 200);
+    for request in [&unsafe_request, &safe_request, &safe_request] {
+        assert_eq!(send_request(node.address, request).status(), 200);
+    }
+    assert_eq!(record.count(), 3);
+}
