Share the ids of requests that must not run twice between the processes of a node

Cause: each process knew its own ids only, though both are one node.

Change: where a process has inherited its listening socket, it claims the id of a request that must not run twice in node-ids, in the folder of the state files, before it accepts the request, and withdraws the claim if the request did not run.

Not taken: a lock around the claim (a process that is held up would hold up the other) and a log of all ids (it grows).

--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -7,6 +7,7 @@
 use super::responses::{ClientResponse, closing, full};
 use super::trace_ids::{TraceIdConflict, TraceIdGuard, TraceIds};
 use crate::headers;
+use crate::snapshot::SharedTraceIds;
 use crate::system::clock::clamped_duration;
 use crate::system::memory::MemoryBudget;
 use crate::system::socket::Socket;
@@ -162,15 +163,16 @@
     /// Creates a reader for requests of these classes. `body_memory_bytes` is the memory that the buffered
     /// bodies, and the buffered parts of streamed bodies, of all open requests may take up together. A value
     /// below that of one buffered body counts as that of one. Requests are rejected if `memory` does not allow
-    /// another one.
+    /// another one. `shared_trace_ids` is `None` if no other process serves on the listening socket.
     pub fn new(
         names: Rc<NameIndex>,
         classes: Vec<RequestClass>,
         body_memory_bytes: usize,
         memory: Rc<MemoryBudget>,
+        shared_trace_ids: Option<SharedTraceIds>,
     ) -> RequestReader {
         let bodies = BodyCollector::new(body_memory_bytes, memory);
-        RequestReader { names, classes, trace_ids: TraceIds::new(), bodies }
+        RequestReader { names, classes, trace_ids: TraceIds::new(shared_trace_ids), bodies }
     }
 
     /// Reads and checks a request. Returns the rejection if the request is not valid, if its body does not
--- a/src/node/frontend/trace_ids.rs
+++ b/src/node/frontend/trace_ids.rs
@@ -3,9 +3,11 @@
 //! A client sends a trace id once. If an id comes again, for example because its client has disconnected and
 //! another one repeats the request, an endpoint may still execute the first request or have executed it. Two
 //! requests with the same id are therefore never open at the same time. An id whose request may have run, and
-//! must not run twice, is not accepted again either, as long as [`RecentIds`] remembers it.
+//! must not run twice, is not accepted again either: [`RecentIds`] remembers the ids of this process, and
+//! [`SharedTraceIds`] those of all processes that serve on the same listening socket.
 
 use super::recent_ids::RecentIds;
+use crate::snapshot::SharedTraceIds;
 use crate::system::clock::clamped_duration;
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -23,7 +25,7 @@
 pub(super) enum TraceIdConflict {
     /// An open request has this id.
     Open,
-    /// A request with this id may have run.
+    /// A request with this id may have run, here or in another process of the node.
     MayHaveRun,
 }
 
@@ -36,6 +38,8 @@
     open: RefCell<HashSet<HeaderValue>>,
     /// The hashes of the ids whose requests may have run and must not run twice.
     executed: RefCell<RecentIds>,
+    /// `None` if no other process serves on the listening socket of this one.
+    shared: Option<SharedTraceIds>,
 }
 
 /// For how long after a request another one with the same id may run.
@@ -56,7 +60,10 @@
         match class.idempotency {
             Idempotency::Idempotent => RepeatWindow::Unlimited,
             idempotency if idempotency.allows_client_retry() => {
-                let window_ms = (class.deduplication_window_ms - class.deadline_ms).max(0.0);
+                let window_ms = class.deduplication_window_ms - class.deadline_ms;
+                if window_ms <= 0.0 {
+                    return RepeatWindow::Closed;
+                }
                 RepeatWindow::Until(Instant::now() + clamped_duration(window_ms, MAX_REPEAT_WINDOW_MS))
             }
             _ => RepeatWindow::Closed,
@@ -75,10 +82,11 @@
 
 impl TraceIds {
     /// Creates the ids of a process that has accepted no request.
-    pub fn new() -> TraceIds {
+    pub fn new(shared: Option<SharedTraceIds>) -> TraceIds {
         TraceIds(Rc::new(TraceIdsInner {
             open: RefCell::default(),
             executed: RefCell::new(RecentIds::new()),
+            shared,
         }))
     }
 
@@ -90,15 +98,32 @@
         if self.0.open.borrow().contains(&id) {
             return Err(TraceIdConflict::Open);
         }
-        if self.0.executed.borrow().rejects(stable_hash_bytes(id.as_bytes())) {
+        let hash = stable_hash_bytes(id.as_bytes());
+        let repeat_window = RepeatWindow::of(class);
+        if self.0.executed.borrow().rejects(hash) || !self.claim(hash, repeat_window) {
             return Err(TraceIdConflict::MayHaveRun);
         }
-        let repeat_window = RepeatWindow::of(class);
         self.0.open.borrow_mut().insert(id.clone());
         Ok(TraceIdGuard { ids: self.clone(), id, repeat_window, may_have_run: Rc::default() })
     }
 }
 
+impl TraceIds {
+    /// Keeps the id of a request that must not run again from the other processes. Returns `false` if one of
+    /// them has claimed it.
+    fn claim(&self, hash: u64, repeat_window: RepeatWindow) -> bool {
+        let shared = self.0.shared.as_ref().filter(|_| repeat_window == RepeatWindow::Closed);
+        shared.is_none_or(|shared| shared.claim(hash))
+    }
+
+    /// Withdraws the claim of a request that did not run.
+    fn release(&self, hash: u64, repeat_window: RepeatWindow) {
+        if let Some(shared) = self.0.shared.as_ref().filter(|_| repeat_window == RepeatWindow::Closed) {
+            shared.release(hash);
+        }
+    }
+}
+
 impl TraceIdGuard {
     /// Returns the flag that tells whether an endpoint may have executed the request. The driver sets it.
     pub fn may_have_run(&self) -> Rc<Cell<bool>> {
@@ -110,14 +135,15 @@
     fn drop(&mut self) {
         let ids = &self.ids.0;
         ids.open.borrow_mut().remove(&self.id);
+        let hash = stable_hash_bytes(self.id.as_bytes());
         if !self.may_have_run.get() {
-            return;
+            return self.ids.release(hash, self.repeat_window);
         }
         let rejected_from = match self.repeat_window {
             RepeatWindow::Unlimited => return,
             RepeatWindow::Until(end) => end,
             RepeatWindow::Closed => Instant::now(),
         };
-        ids.executed.borrow_mut().insert(stable_hash_bytes(self.id.as_bytes()), rejected_from);
+        ids.executed.borrow_mut().insert(hash, rejected_from);
     }
 }
--- a/src/node/snapshot/mod.rs
+++ b/src/node/snapshot/mod.rs
@@ -7,12 +7,14 @@
 //!
 //! [`store`] defines the content of both files. [`state_file`] writes them in such a way that a partly
 //! written file is never taken for a complete one. [`takeover`] restores them at startup and keeps two
-//! processes that run at the same time in agreement.
+//! processes that run at the same time in agreement. [`shared_trace_ids`] keeps a request from running in both.
 
 mod folder_lock;
 mod process_id;
+mod shared_trace_ids;
 mod state_file;
 mod store;
 mod takeover;
 
+pub use shared_trace_ids::SharedTraceIds;
 pub use takeover::{OverrideError, Takeover};
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -13,7 +13,7 @@
 use crate::observability::log;
 use crate::peers::{PeerAddresses, PeerSocket};
 use crate::reload;
-use crate::snapshot::Takeover;
+use crate::snapshot::{SharedTraceIds, Takeover};
 use crate::system::acceptor::Acceptor;
 use crate::system::clock::clamped_duration;
 use crate::system::descriptors::{self, Descriptors};
@@ -244,7 +244,9 @@
             upstream,
             sockets.peers,
         );
-        let reader = RequestReader::new(names, settings.classes, body_memory_bytes, memory);
+        let shared_trace_ids = if is_listener_shared { SharedTraceIds::open() } else { None };
+        let reader =
+            RequestReader::new(names, settings.classes, body_memory_bytes, memory, shared_trace_ids);
         let max_open_requests = settings.max_open_requests as usize;
         let frontend =
             Frontend::new(driver.clone(), reader, max_open_requests, max_buffer_bytes, descriptors.clone());
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
+use std::time::Duration;
 
 /// Creates an empty directory for the state files that one process leaves for the next.
 fn create_state_dir(name: &str) -> PathBuf {
@@ -347,3 +348,35 @@
     );
     let _ = std::fs::remove_dir_all(state_dir);
 }
+
+/// Guards against a request that runs twice because its id comes again at another process of the node: each process
+/// knew its own ids only.
+#[test]
+fn a_trace_id_whose_request_may_have_run_is_not_accepted_by_the_next_process() {
+    let record = RequestRecord::default();
+    let endpoint = start_endpoint(&record, |_, _| {
+        std::thread::sleep(Duration::from_millis(200));
+        ok(b"x")
+    });
+    let discovery = DiscoveryStub::start(all_up(&[endpoint]));
+    let socket = TcpListener::bind(free_address()).unwrap();
+    let state_dir = create_state_dir("ids");
+    let old = Node::launch_inheriting(discovery.address, &socket, &state_dir, set_admin_address);
+    wait_for("the old process is ready", || old.readiness_status() == 200);
+    let (abandoned, answered) = (request("bid", 900), request("bid", 900));
+    let mut client = Client::connect(old.address);
+    assert!(client.send(&abandoned));
+    wait_for("the request reaches the endpoint", || record.count() == 1);
+    drop(client);
+    assert_eq!(send_request(old.address, &answered).status(), 200);
+    let new = Node::launch_inheriting(discovery.address, &socket, &state_dir, set_admin_address);
+    wait_for("the new process is ready", || new.is_admin_ready());
+    old.terminate();
+    drop(old);
+    for repeated in [&abandoned, &answered] {
+        assert_eq!(send_request(new.address, repeated).status(), 409);
+    }
+    assert_eq!(send_request(new.address, &request("bid", 900)).status(), 200);
+    assert_eq!(record.count(), 3, "a request ran twice");
+    let _ = std::fs::remove_dir_all(state_dir);
+}
