Reset the connection of an attempt that is given up, so that nothing is sent on

Cause: the node cancels the attempt of a client that leaves by closing its connection, and the system still delivers what it has taken of the request. A server begins a request with its last byte, so the request ran for nobody, and ran again when its client came back.

Change: a connection that is dropped while a request is in progress on it is reset, which discards what was not delivered. One on which nothing was written, or whose response is complete, is closed as before. This holds for each way of giving up an attempt: client gone, time over, another answer, end of the process.

--- a/src/node/system/socket.rs
+++ b/src/node/system/socket.rs
@@ -154,11 +154,11 @@
         let _ = socket2::SockRef::from(&self.0.stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     }
 
-    /// Sets the socket option with which closing the socket resets the connection, so that the peer does not
-    /// take the close for the regular end of a response.
+    /// Sets the socket option with which closing the socket resets the connection. The peer then does not take
+    /// the close for the regular end of a message, and bytes that the system has not sent yet are discarded.
     pub fn reset_on_close(&self) {
-        // If this fails, the close is a regular one. An HTTP/1.1 peer can still detect that the response is
-        // shorter than its Content-Length or lacks its last chunk.
+        // If this fails, the close is a regular one. An HTTP/1.1 peer can still detect that a message is shorter
+        // than its Content-Length or lacks its last chunk.
         let _ = socket2::SockRef::from(&self.0.stream).set_linger(Some(Duration::ZERO));
     }
 
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -284,6 +284,16 @@
     }
 }
 
+impl Drop for UpstreamConnection {
+    /// Resets the connection if a request is in progress on it, because the request was given up. A regular
+    /// close would still deliver what the system holds of the request, and the other side would execute it.
+    fn drop(&mut self) {
+        if self.socket.bytes_written() > 0 && !self.is_ready() {
+            self.socket.reset_on_close();
+        }
+    }
+}
+
 /// Checks that the end of a response's body is unambiguous, and that its announced length is within the
 /// limit.
 ///
--- a/tests/node_request_bodies.rs
+++ b/tests/node_request_bodies.rs
@@ -4,8 +4,8 @@
 use node::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -239,3 +239,36 @@
         }
     }
 }
+
+/// Guards against a request that is sent on after its client has left: the node closed the connection to the endpoint, but
+/// the system still delivered what it held of the request, and the endpoint executed it.
+#[test]
+fn a_request_whose_client_leaves_is_not_sent_on_from_the_buffers() {
+    // Less than the system takes from the node at once, and more than it delivers before the endpoint reads.
+    const LENGTH: usize = 400_000;
+    for framing in [Framing::Length, Framing::Chunks] {
+        let (sender, received) = mpsc::channel();
+        let sender = Mutex::new(sender);
+        let endpoint = start_raw_endpoint(move |_, mut stream| {
+            let mut total = 0;
+            let mut part = [0; 10_000];
+            while let Ok(length) = stream.read(&mut part)
+                && length > 0
+            {
+                total += length;
+                if total == length {
+                    sender.lock().unwrap().send(total).unwrap();
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+            sender.lock().unwrap().send(total).unwrap();
+        });
+        let node = start_node_with(endpoint);
+        let mut client = Client::connect(node.address);
+        assert!(client.send(&long_keyed_request(framing, LENGTH)));
+        received.recv_timeout(WAIT_TIMEOUT).expect("the endpoint receives the first bytes");
+        drop(client);
+        let total = received.recv_timeout(WAIT_TIMEOUT).expect("the connection to the endpoint ends");
+        assert!(total < LENGTH, "{framing:?}: the endpoint received the complete request");
+    }
+}
