Begin no attempt for a client whose close cannot be seen behind its unread requests

Cause: the receive buffer of the node's system was full, so the close waited in the client's system until the node had read all before it. A node that reads one request at a time does not see it.

Change: before each attempt, first or further, the system is asked whether the client has closed its connection (poll, POLLRDHUP), not only what the event loop has heard so far. Where 32 KiB or more wait unread behind a request, which is well below what the receive buffer takes, the answer would mean nothing: such a request is refused (503, the connection stays), and not sent again. The rest of a streamed body does not count.

--- a/src/node/driver/attempt.rs
+++ b/src/node/driver/attempt.rs
@@ -11,7 +11,9 @@
 use crate::observability::log;
 use crate::observability::request_trace::WithheldReason;
 use crate::system::clock::clamped_duration;
-use crate::upstream::{Attempt, AttemptEnd, AttemptResult, BodyCompletion, UpstreamConnection};
+use crate::upstream::{
+    Attempt, AttemptEnd, AttemptResult, BodyCompletion, ClientPresence, UpstreamConnection,
+};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -139,8 +141,11 @@
         let Some(open_request) = state.requests.get_mut(id) else {
             return Err(WithheldReason::RequestOver);
         };
-        let check_result = if !open_request.awaits_answer() {
+        let client = open_request.proxied.client_presence();
+        let check_result = if !open_request.awaits_answer() || client == ClientPresence::Left {
             Err(WithheldReason::RequestOver)
+        } else if client == ClientPresence::Unknown {
+            Err(WithheldReason::ClientUnknown)
         } else if !is_routable {
             Err(WithheldReason::EndpointWithdrawn)
         } else if Instant::now() >= attempt.send_by {
--- a/src/node/frontend/body_collector.rs
+++ b/src/node/frontend/body_collector.rs
@@ -102,7 +102,7 @@
             let is_complete = length == Some(buffered.len() as u64);
             if buffered.len() > MAX_BUFFERED_BODY_BYTES && !is_complete {
                 let prefix = buffered.freeze();
-                let client_reads = socket.read_observer();
+                let client_reads = socket.peer_observer();
                 let streamed = StreamedRequestBody::new(prefix, body, length, minimum_rate, client_reads);
                 return Ok(CollectedBody { body: RequestBody::Streamed(streamed), memory });
             }
--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -15,6 +15,7 @@
 use crate::observability::log;
 use crate::system::descriptors::DescriptorPermit;
 use crate::system::socket::Socket;
+use crate::upstream::ClientPresence;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -40,6 +41,9 @@
 /// The response to a request that has both a Content-Length and a Transfer-Encoding header.
 const CONFLICTING_FRAMING: &str = "both a length and chunks\n";
 
+/// The response to a request behind which too many other bytes wait.
+const TOO_MANY_PIPELINED_BYTES: &str = "too many bytes behind the request\n";
+
 /// The client has disconnected before its request was answered.
 #[derive(Debug, Error)]
 #[error("the client has disconnected")]
@@ -299,6 +303,14 @@
         }
         let ParsedRequest { request, proxied, deadline, expires_at, trace_id_guard: _trace_id_guard } =
             parsed;
+        match proxied.client_presence() {
+            ClientPresence::Present => {}
+            ClientPresence::Left => return Err(ClientDisconnected),
+            ClientPresence::Unknown => {
+                self.count_rejection(TOO_MANY_PIPELINED_BYTES);
+                return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, TOO_MANY_PIPELINED_BYTES));
+            }
+        }
         tokio::select! {
             biased;
             () = socket.wait_until_peer_closed() => Err(ClientDisconnected),
--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -20,10 +20,8 @@
 };
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::OwnedSemaphorePermit;
 use wheelpath::policy::{Idempotency, Request, RequestClass, RequestId};
 use wheelpath::settings_file::NameIndex;
 use wheelpath::stable_hash::stable_hash;
@@ -210,7 +208,15 @@
         let trace_id_guard = self.trace_ids.reserve(trace_id, class)?;
         Ok(ParsedRequest {
             request: balancer_request(&head, class_index, arrived_at),
-            proxied: proxied_request(head, body, memory, trace_id_guard.may_have_run()),
+            proxied: ProxiedRequest {
+                method: head.method.clone(),
+                target: target(&head),
+                headers: without_hop_by_hop_headers(head.headers),
+                body,
+                client: socket.peer_observer(),
+                may_have_run: trace_id_guard.may_have_run(),
+                _memory_permit: memory,
+            },
             trace_id_guard,
             deadline: arrived_at + timeout.saturating_sub(BALANCER_DEADLINE_MARGIN),
             expires_at: arrived_at + timeout.saturating_sub(EXPIRY_MARGIN),
@@ -287,22 +293,9 @@
     }
 }
 
-/// Returns the request as it is forwarded. `memory` holds the permits for the buffered part of `body`.
-fn proxied_request(
-    head: Parts,
-    body: RequestBody,
-    memory: Option<OwnedSemaphorePermit>,
-    may_have_run: Rc<Cell<bool>>,
-) -> ProxiedRequest {
-    let path = head.uri.path_and_query().cloned();
-    ProxiedRequest {
-        method: head.method,
-        target: path.map_or_else(|| Uri::from_static("/"), Uri::from),
-        headers: without_hop_by_hop_headers(head.headers),
-        body,
-        may_have_run,
-        _memory_permit: memory,
-    }
+/// Returns the path and query to forward.
+fn target(head: &Parts) -> Uri {
+    head.uri.path_and_query().cloned().map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
 fn without_hop_by_hop_headers(mut headers: HeaderMap) -> HeaderMap {
--- a/src/node/observability/request_trace.rs
+++ b/src/node/observability/request_trace.rs
@@ -50,6 +50,8 @@
     /// The deduplication window of an earlier attempt may have ended, so the endpoint might execute the
     /// request a second time.
     RepeatTooLate,
+    /// It is not known whether the client still waits.
+    ClientUnknown,
     /// An earlier attempt has sent part of the request body, which was not buffered and cannot be sent
     /// again.
     BodySpent,
@@ -60,6 +62,7 @@
     pub fn name(self) -> &'static str {
         match self {
             WithheldReason::RequestOver => "request-over",
+            WithheldReason::ClientUnknown => "client-unknown",
             WithheldReason::EndpointWithdrawn => "server-withdrawn",
             WithheldReason::RepeatTooLate => "repeat-too-late",
             WithheldReason::BodySpent => "body-spent",
--- a/src/node/system/socket.rs
+++ b/src/node/system/socket.rs
@@ -3,9 +3,11 @@
 use super::descriptors::DescriptorPermit;
 use super::length_headers::LengthHeaderCounter;
 use super::syscall_errors::{is_interrupted, is_out_of_buffers};
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use std::cell::Cell;
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::Shutdown;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
@@ -112,9 +114,9 @@
         self.0.length_headers.get().map_or(0, LengthHeaderCounter::count)
     }
 
-    /// Returns an observer of the reads, which does not keep the socket open.
-    pub fn read_observer(&self) -> ReadObserver {
-        ReadObserver(Rc::downgrade(&self.0))
+    /// Returns an observer of the peer, which does not keep the socket open.
+    pub fn peer_observer(&self) -> PeerObserver {
+        PeerObserver(Rc::downgrade(&self.0))
     }
 
     fn record_read(&self, bytes: &[u8]) {
@@ -185,10 +187,12 @@
     }
 }
 
-/// Tells whether the owner of a socket waits for the peer's bytes, or the peer's bytes wait for the owner.
-pub struct ReadObserver(Weak<Inner>);
+/// Tells whether the owner of a socket waits for the peer's bytes, or the peer's bytes wait for the owner, and
+/// whether the peer has closed the connection.
+#[derive(Clone)]
+pub struct PeerObserver(Weak<Inner>);
 
-impl ReadObserver {
+impl PeerObserver {
     /// Returns whether the last read found no bytes. Returns `false` if the socket is closed.
     pub fn awaits_bytes(&self) -> bool {
         self.0.upgrade().is_some_and(|inner| inner.awaits_bytes.get())
@@ -200,6 +204,31 @@
         self.0.upgrade()?.awaited_bytes_read_at.get()
     }
 
+    /// Returns whether the peer has closed its sending side or reset the connection, as far as the system knows
+    /// now. Returns `true` if the socket is closed.
+    pub fn has_closed(&self) -> bool {
+        let Some(inner) = self.0.upgrade() else { return true };
+        let mut polled = [PollFd::new(inner.stream.as_fd(), PollFlags::from_bits_retain(libc::POLLRDHUP))];
+        if poll(&mut polled, PollTimeout::ZERO).is_err() {
+            return false;
+        }
+        // `POLLRDHUP` is none of the flags that the library knows, and makes `revents` return `None`.
+        polled[0].revents().is_none_or(|found| !found.is_empty())
+    }
+
+    /// Returns whether at least `bytes` bytes of the peer wait unread in the system.
+    pub fn has_unread_bytes(&self, bytes: usize) -> bool {
+        let Some(inner) = self.0.upgrade() else { return false };
+        let socket = socket2::SockRef::from(&inner.stream);
+        let mut first_byte = [std::mem::MaybeUninit::uninit()];
+        // Most connections have nothing to read, and need no buffer for the check.
+        if socket.peek(&mut first_byte).is_err() {
+            return false;
+        }
+        let mut buffer = Vec::with_capacity(bytes);
+        socket.peek(buffer.spare_capacity_mut()).is_ok_and(|found| found >= bytes)
+    }
+
     /// Returns the size of the receive buffer, in bytes, which unread bytes cannot exceed. Returns `None` if the
     /// socket is closed or the system does not tell.
     pub fn receive_buffer_bytes(&self) -> Option<u64> {
--- a/src/node/upstream/proxied_request.rs
+++ b/src/node/upstream/proxied_request.rs
@@ -6,6 +6,7 @@
 use super::request_body::{BodyCompletion, StreamedRequestBody, UpstreamBody};
 use crate::headers;
 use crate::observability::request_trace::BodyProgress;
+use crate::system::socket::PeerObserver;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
@@ -16,6 +17,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
 
+/// The number of bytes that a client may have sent after a request. With more, the receive buffer may be full,
+/// and the system then does not learn that the client closes its connection.
+const MAX_OBSERVABLE_UNREAD_BYTES: usize = 32 * 1024;
+
 /// A client's request as it is forwarded to endpoints, without headers that concern only the client's
 /// connection.
 pub struct ProxiedRequest {
@@ -27,6 +32,8 @@
     pub headers: HeaderMap,
     /// The body, without the trailers that a streamed body may have.
     pub body: RequestBody,
+    /// The client's socket.
+    pub client: PeerObserver,
     /// Whether an endpoint may have executed the request. The driver sets it with each attempt.
     pub may_have_run: Rc<Cell<bool>>,
     /// The share of the memory for request bodies that this body takes. It is released when the request is
@@ -34,6 +41,18 @@
     pub _memory_permit: Option<OwnedSemaphorePermit>,
 }
 
+/// Whether a client still waits for the response to its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientPresence {
+    /// The client has not closed its connection.
+    Present,
+    /// The client has closed its connection.
+    Left,
+    /// The client has sent so many bytes after the request that its close may wait behind them, where this
+    /// machine cannot see it.
+    Unknown,
+}
+
 /// The body of a client's request.
 pub enum RequestBody {
     /// The complete body is in memory, and can be sent again.
@@ -48,6 +67,19 @@
         self.headers.get(headers::TRACE_ID)
     }
 
+    /// Returns whether the client still waits, as far as the system knows now.
+    pub fn client_presence(&self) -> ClientPresence {
+        // The rest of a streamed body waits there as well, but no server executes a request without its end.
+        let is_buffered = matches!(self.body, RequestBody::Buffered(_));
+        if self.client.has_closed() {
+            ClientPresence::Left
+        } else if is_buffered && self.client.has_unread_bytes(MAX_OBSERVABLE_UNREAD_BYTES) {
+            ClientPresence::Unknown
+        } else {
+            ClientPresence::Present
+        }
+    }
+
     fn streamed_body(&self) -> Option<&Rc<StreamedRequestBody>> {
         match &self.body {
             RequestBody::Buffered(_) => None,
--- a/src/node/upstream/request_body.rs
+++ b/src/node/upstream/request_body.rs
@@ -7,7 +7,7 @@
 use super::upload_clock::UploadClock;
 use super::{BodyError, MAX_BODY_BYTES, poll_buffered};
 use crate::observability::request_trace::BodyProgress;
-use crate::system::socket::ReadObserver;
+use crate::system::socket::PeerObserver;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -49,7 +49,7 @@
     /// Whether the body ended early on the client's side, or is too long.
     has_failed: Cell<bool>,
     /// The client's socket.
-    client_reads: ReadObserver,
+    client_reads: PeerObserver,
     upload_clock: RefCell<UploadClock>,
     /// Whether an attempt waits for more of `rest`.
     awaits_rest: Cell<bool>,
@@ -67,7 +67,7 @@
         rest: Incoming,
         length: Option<u64>,
         minimum_rate: MinimumRate,
-        client_reads: ReadObserver,
+        client_reads: PeerObserver,
     ) -> Rc<StreamedRequestBody> {
         Rc::new(StreamedRequestBody {
             prefix,
--- a/tests/node_hostile_clients.rs
+++ b/tests/node_hostile_clients.rs
@@ -285,3 +285,59 @@
     }
     assert_eq!(record.count(), 3);
 }
+
+/// More pipelined requests than the receive buffer of the node's system takes, so that the client's close waits behind
+/// them.
+fn many_pipelined_requests() -> Vec<u8> {
+    const COUNT: usize = 400;
+    let padding = format!("X-Padding: {}\r\n\r\n", "x".repeat(1000));
+    let padded = |bytes: Vec<u8>| [&bytes[..bytes.len() - 2], padding.as_bytes()].concat();
+    (0..COUNT).flat_map(|_| padded(request("page", 4000))).collect()
+}
+
+/// Guards against a retry for a client that has left: its close waited behind its unread requests, and the node sent the
+/// request again after the first attempt had failed.
+#[test]
+fn a_request_is_not_retried_after_its_client_left_behind_much_unread() {
+    let record = RequestRecord::default();
+    let addresses = start_endpoints(2, &record, |_, _| {
+        thread::sleep(Duration::from_millis(400));
+        ScriptedResponse::Send(response("500 Internal Server Error", "", b""))
+    });
+    let discovery = DiscoveryStub::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&many_pipelined_requests()));
+    wait_for("the first request reaches an endpoint", || record.count() == 1);
+    drop(client);
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(record.count(), 1, "a request was sent for a client that had left");
+}
+
+/// Guards against pipelined requests that are sent on one after another for a client that has left, until the node had
+/// read all of them. Those that it reads meanwhile are refused, since it cannot see whether their client is still there.
+#[test]
+fn pipelined_requests_are_not_sent_on_after_their_client_left_behind_much_unread() {
+    // An attempt may begin up to this time after the client has closed its connection.
+    const MAX_DELAY: Duration = Duration::from_millis(100);
+    let record = RequestRecord::default();
+    let addresses = start_endpoints(2, &record, |_, _| {
+        thread::sleep(Duration::from_millis(30));
+        ok(b"x")
+    });
+    let discovery = DiscoveryStub::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&many_pipelined_requests()));
+    client.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    thread::sleep(MAX_DELAY);
+    let sent = record.count();
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(record.count(), sent, "requests were sent for a client that had left");
+    // A client that stays gets an answer to each, and the rest is served once the node can see the client again.
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&many_pipelined_requests()));
+    let statuses: Vec<u16> = (0..400).map(|_| client.read_response().unwrap().status()).collect();
+    assert!(statuses.iter().all(|status| matches!(status, 200 | 503)), "{statuses:?}");
+    assert_eq!(statuses.last(), Some(&200));
+}
