Play servers that write long answers slowly in the fault soak, and hold that none is cut off

Now a server has spells in which its answers are 150 kB long and come in parts, with 0.1 or 0.3 s before each, in all framings.

The oracle has a new rule, Cut: an answer whose head the server had written 0.15 s and more before may not be closed on by the node while server and proxy are undisturbed, its client stays and its process runs. A truncated answer is excused only where the server or its proxy was disrupted while it was written.

--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -20,7 +20,11 @@
 
 /// How long after its timeout a client still waits for a response, to tell a late response from a missing
 /// one.
-const LATE_RESPONSE_WAIT: Duration = Duration::from_millis(1500);
+const LATE_RESPONSE_WAIT: Duration = Duration::from_millis(4000);
+/// The length up to which the last byte of a response counts as its time; of a longer one, the first byte does.
+const MAX_TIMED_BODY_BYTES: usize = 64 * 1024;
+/// The number of bytes of a response's body that are recorded.
+const MAX_KEPT_BODY_BYTES: usize = 1000;
 /// The time within which a client that sent only a part of a request must get an error or a close.
 const PARTIAL_REQUEST_LIMIT_SECONDS: f64 = 3.0;
 /// How far `PARTIAL_REQUEST_LIMIT_SECONDS` may be exceeded before that is recorded as a violation.
@@ -229,10 +233,11 @@
         } else {
             timeout + LATE_RESPONSE_WAIT
         };
-        let read = Message::read(&mut connection.stream, || {});
+        let mut first_byte_at = 0.0;
+        let read = Message::read(&mut connection.stream, || first_byte_at = self.record.now());
         match tokio::time::timeout(wait, read).await {
             Ok(Ok(message)) => {
-                self.record_response(id, &message);
+                self.record_response(id, &message, first_byte_at);
                 let closes = message.header("connection") == Some("close");
                 connection.is_new = false;
                 if closes { RequestOutcome::Ended } else { RequestOutcome::Reusable(connection) }
@@ -273,10 +278,16 @@
         }
     }
 
-    fn record_response(&self, id: u64, message: &Message) {
+    /// Records a complete response. Of a long one, the first byte counts, and only the beginning is kept.
+    fn record_response(&self, id: u64, message: &Message, first_byte_at: f64) {
         let status = message.status();
-        let body = String::from_utf8_lossy(&message.body).into_owned();
-        self.update_request(id, |request, at| request.response = Some(ClientResponse { at, status, body }));
+        let is_long = message.body.len() > MAX_TIMED_BODY_BYTES;
+        let beginning = &message.body[..message.body.len().min(MAX_KEPT_BODY_BYTES)];
+        let body = String::from_utf8_lossy(beginning).into_owned();
+        self.update_request(id, |request, now| {
+            let at = if is_long { first_byte_at } else { now };
+            request.response = Some(ClientResponse { at, status, body });
+        });
     }
 
     /// Records that the node ended the connection of a request before the response was complete.
@@ -335,9 +346,10 @@
         let _ = stream.write_all(&bytes).await;
         let mut stream = BufReader::new(stream);
         for id in ids {
-            let read = Message::read(&mut stream, || {});
+            let mut first_byte_at = 0.0;
+            let read = Message::read(&mut stream, || first_byte_at = self.record.now());
             match tokio::time::timeout(class.max_timeout() + LATE_RESPONSE_WAIT, read).await {
-                Ok(Ok(message)) => self.record_response(id, &message),
+                Ok(Ok(message)) => self.record_response(id, &message, first_byte_at),
                 Ok(Err(error)) => {
                     let mid_response = matches!(error, ReadError::Incomplete);
                     self.update_request(id, |request, at| {
--- a/fault-soak/src/fault_injection.rs
+++ b/fault-soak/src/fault_injection.rs
@@ -53,6 +53,7 @@
             | Fault::RejectRequests { .. }
             | Fault::SlowServer { .. }
             | Fault::CorruptResponses { .. }
+            | Fault::SlowResponses { .. }
             | Fault::ResetConnections { .. }
             | Fault::DropServerOutput { .. } => self.inject_at_servers(fault).await,
             Fault::DiscoveryDown { .. }
@@ -123,6 +124,9 @@
             Fault::CorruptResponses { server, for_ms } => {
                 self.set_server_mode(server, ServerMode::Corrupting, for_ms).await
             }
+            Fault::SlowResponses { server, for_ms } => {
+                self.set_server_mode(server, ServerMode::WritingSlowly, for_ms).await
+            }
             Fault::ResetConnections { server } => self.servers[server].proxy.reset_all(),
             Fault::DropServerOutput { server, for_ms } => {
                 self.servers[server].proxy.set_mode(ProxyMode::DropServerOutput).await;
--- a/fault-soak/src/oracle/mod.rs
+++ b/fault-soak/src/oracle/mod.rs
@@ -49,6 +49,9 @@
     for attempt in &attempts {
         checker.check_attempt(attempt, &mut found);
     }
+    for cut in record.cut_responses.lock().unwrap().iter() {
+        found.extend(checker.cut_response(cut));
+    }
     checker.slow_start_overload(&attempts, &mut found);
     checker.readiness(&mut found);
     found.sort_by(|a, b| a.at.total_cmp(&b.at));
--- a/fault-soak/src/oracle/request_rules.rs
+++ b/fault-soak/src/oracle/request_rules.rs
@@ -1,7 +1,7 @@
 //! The rules for one request and its attempts.
 
 use super::{Checker, DELAYED_WRITE_SLACK_SECONDS, Violation};
-use crate::record::{ClientRequest, ClientResponse, ConnectionClose, Rule, ServerAttempt};
+use crate::record::{ClientRequest, ClientResponse, ConnectionClose, CutResponse, Rule, ServerAttempt};
 use crate::settings::{DEDUPLICATION_WINDOW, MAX_ATTEMPTS, RequestClass};
 
 /// How long after its deadline a request must have a response at the latest.
@@ -11,6 +11,10 @@
 /// By how much the time that a server is given may exceed the time that the client has left.
 const DEADLINE_SLACK_SECONDS: f64 = 0.15;
 
+/// How long after its head a response must have been cut off to be a violation. A node that is held up may
+/// read the head this late.
+const MIN_CUT_SECONDS: f64 = 0.15;
+
 /// A request with all of its attempts that reached a server.
 struct RequestHistory<'a> {
     id: u64,
@@ -85,13 +89,40 @@
         // then retries on a new connection, so the response is lost only if the node had read the request.
         let is_close_race = !request.on_new_connection && is_closed_before_response;
         let is_lost = !is_close_race || !history.attempts.is_empty();
-        if !is_lost || self.was_killed(request.node, request.sent_at, at) {
+        let is_disrupted = self.record.disrupted_responses.lock().unwrap().contains(&history.id);
+        let was_begun = !is_closed_before_response;
+        if !is_lost || is_disrupted && was_begun || self.was_killed(request.node, request.sent_at, at) {
             return None;
         }
         let detail = format!("{outcome}, {:.3} s after it was sent", at - request.sent_at);
         Some(history.violation(at, Rule::LostResponse, &detail))
     }
 
+    /// [`Rule::CutResponse`]: a response that a server still writes is not cut off, unless its client has left
+    /// or its node was being stopped.
+    pub(super) fn cut_response(&self, cut: &CutResponse) -> Option<Violation> {
+        let request = self.requests.get(&cut.id)?;
+        let slack = self.slack(cut.at);
+        let has_left = request.abandoned_at.is_some_and(|at| at <= cut.at + slack);
+        let gaps = self.record.process_gaps.lock().unwrap();
+        let was_stopped = gaps
+            .iter()
+            .any(|gap| gap.node == request.node && gap.from <= cut.at + slack && gap.until >= cut.head_at);
+        // An attempt may be given up before its node has read the head.
+        let written_for = cut.at - cut.head_at;
+        if has_left || was_stopped || written_for < MIN_CUT_SECONDS + slack {
+            return None;
+        }
+        let description = format!(
+            "{:016x} {} at node {}: cut off {written_for:.3} s after server {} had written the head",
+            cut.id,
+            request.class.name(),
+            request.node,
+            cut.server
+        );
+        Some(Violation { at: cut.at, rule: Rule::CutResponse, description })
+    }
+
     /// Whether the node's process was killed, or its successor was not yet ready, at any time in the
     /// period.
     fn was_killed(&self, node: usize, from: f64, until: f64) -> bool {
--- a/fault-soak/src/proxy.rs
+++ b/fault-soak/src/proxy.rs
@@ -1,6 +1,7 @@
 //! Forwards TCP connections to a simulated server, and breaks them on demand.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -27,6 +28,8 @@
     mode: watch::Sender<ProxyMode>,
     /// Counts the resets of all connections.
     resets: watch::Sender<u32>,
+    /// Counts the changes of the mode and the resets.
+    disruptions: AtomicU64,
     /// The task that accepts connections; `None` while the proxy is down.
     accept_task: Mutex<Option<JoinHandle<()>>>,
 }
@@ -40,6 +43,7 @@
             server,
             mode: watch::Sender::new(ProxyMode::Forwarding),
             resets: watch::Sender::new(0),
+            disruptions: AtomicU64::new(0),
             accept_task: Mutex::default(),
         });
         proxy.spawn_accept_task(listener);
@@ -48,6 +52,7 @@
 
     /// Sets the mode. Returns once the listening socket has been closed or opened accordingly.
     pub async fn set_mode(self: &Arc<Self>, mode: ProxyMode) {
+        self.disruptions.fetch_add(1, Ordering::SeqCst);
         let before = self.mode.send_replace(mode);
         if mode == ProxyMode::Down {
             let task = self.accept_task.lock().unwrap().take();
@@ -64,9 +69,16 @@
 
     /// Resets all open connections.
     pub fn reset_all(&self) {
+        self.disruptions.fetch_add(1, Ordering::SeqCst);
         self.resets.send_modify(|resets| *resets += 1);
     }
 
+    /// The number of changes of the mode and of resets so far. `None` unless all bytes are forwarded now.
+    pub fn disruptions_if_forwarding(&self) -> Option<u64> {
+        let is_forwarding = *self.mode.borrow() == ProxyMode::Forwarding;
+        is_forwarding.then(|| self.disruptions.load(Ordering::SeqCst))
+    }
+
     fn spawn_accept_task(self: &Arc<Self>, listener: TcpListener) {
         let proxy = self.clone();
         let task = tokio::spawn(async move {
--- a/fault-soak/src/record.rs
+++ b/fault-soak/src/record.rs
@@ -5,7 +5,7 @@
 //! record was created, and all durations are in seconds.
 
 use crate::settings::RequestClass;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -15,7 +15,7 @@
 /// A complete response, as the client received it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClientResponse {
-    /// When the last byte arrived.
+    /// When the last byte arrived, or the first one of a response that is too long to be buffered.
     pub at: f64,
     /// The HTTP status code, or 0 if the status line has none.
     pub status: u16,
@@ -79,6 +79,19 @@
     pub rejected: bool,
 }
 
+/// A response that a server did not write to its end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CutResponse {
+    /// The id of the client's request.
+    pub id: u64,
+    /// The index of the server.
+    pub server: usize,
+    /// When the server had written the head.
+    pub head_at: f64,
+    /// When the server noticed that the connection had been closed.
+    pub at: f64,
+}
+
 /// A change to a server that the nodes must act on once they know of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ServerChange {
@@ -159,6 +172,10 @@
     pub requests: Mutex<HashMap<u64, ClientRequest>>,
     /// The attempts that reached a server, in the order of their last bytes.
     pub attempts: Mutex<Vec<ServerAttempt>>,
+    /// The responses that a node cut off: neither the server nor its proxy was disrupted meanwhile.
+    pub cut_responses: Mutex<Vec<CutResponse>>,
+    /// The ids of the requests of which a response was disrupted by a fault of the server or its proxy.
+    pub disrupted_responses: Mutex<HashSet<u64>>,
     /// The changes to servers, in the order in which discovery got them.
     pub changes: Mutex<Vec<ServerChangeRecord>>,
     /// The periods in which a server was disabled at a node.
@@ -177,6 +194,8 @@
 pub enum Rule {
     /// Each request gets one final response in time.
     LostResponse,
+    /// No response that a server still writes is cut off.
+    CutResponse,
     /// No request runs more often than its class allows, and no server receives a request that no client
     /// sent.
     DuplicateExecution,
@@ -209,6 +228,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Rule::LostResponse => "Lost",
+            Rule::CutResponse => "Cut",
             Rule::DuplicateExecution => "Duplicate",
             Rule::WithdrawnServer => "Drain",
             Rule::SlowStartOverload => "Cold",
@@ -232,6 +252,8 @@
             start,
             requests: Mutex::default(),
             attempts: Mutex::default(),
+            cut_responses: Mutex::default(),
+            disrupted_responses: Mutex::default(),
             changes: Mutex::default(),
             disabled_periods: Mutex::default(),
             process_gaps: Mutex::default(),
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -22,7 +22,7 @@
 /// The number of clients for each node.
 const CLIENTS_PER_NODE: u64 = 6;
 /// How long to wait, once clients send no more requests, for the responses that are still due.
-const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_secs(4);
+const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_secs(7);
 /// How long to wait, once clients send no more requests, for the faults that are still in effect.
 const LAST_FAULTS_TIMEOUT: Duration = Duration::from_secs(30);
 /// The time between two checks whether a process has exited by itself.
--- a/fault-soak/src/schedule.rs
+++ b/fault-soak/src/schedule.rs
@@ -77,6 +77,8 @@
     /// A server truncates or garbles some of its responses.
     #[serde(rename = "spoil")]
     CorruptResponses { server: usize, for_ms: u64 },
+    /// A server writes its responses slowly: they are long, and have pauses between their parts.
+    SlowResponses { server: usize, for_ms: u64 },
     /// Resets all open connections to a server.
     #[serde(rename = "reset-all")]
     ResetConnections { server: usize },
@@ -157,10 +159,15 @@
 /// The range of the time from the beginning of one group of faults to that of the next.
 const GROUP_INTERVAL_MS: Range<u64> = 900..2600;
 
+/// The range of the time from the beginning of one [`Fault::SlowResponses`] to that of the next.
+const SLOW_RESPONSES_INTERVAL_MS: Range<u64> = 2000..5000;
+/// Distinguishes the random numbers of [`draw_slow_responses`] from those of [`draw`].
+const SLOW_RESPONSES_SEED: u64 = 0x510e_527f;
+
 /// Draws the faults of a seed, in order of time.
 ///
 /// The order of the random draws is part of the meaning of a seed: a change to it gives every seed another
-/// schedule.
+/// schedule. [`draw_slow_responses`] therefore has random numbers of its own.
 pub fn draw(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
     let mut rng = Rng::with_seed(seed);
     let mut faults = Vec::new();
@@ -174,10 +181,26 @@
         }
         at += rng.u64(GROUP_INTERVAL_MS);
     }
+    faults.extend(draw_slow_responses(seed, size));
     faults.sort_by_key(|fault| fault.at_ms);
     faults
 }
 
+fn draw_slow_responses(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
+    let mut rng = Rng::with_seed(seed ^ SLOW_RESPONSES_SEED);
+    let mut faults = Vec::new();
+    let mut at_ms = QUIET_PERIOD_MS;
+    while at_ms + QUIET_PERIOD_MS < size.duration_ms {
+        let server = rng.usize(..size.servers);
+        faults.push(ScheduledFault {
+            at_ms,
+            fault: Fault::SlowResponses { server, for_ms: rng.u64(500..2000) },
+        });
+        at_ms += rng.u64(SLOW_RESPONSES_INTERVAL_MS);
+    }
+    faults
+}
+
 fn draw_fault(rng: &mut Rng, size: RunSize) -> Fault {
     let node = rng.usize(..size.nodes);
     let persistent = rng.usize(size.first_persistent..size.nodes);
--- a/fault-soak/src/server.rs
+++ b/fault-soak/src/server.rs
@@ -6,13 +6,14 @@
 
 use crate::http::{Message, response_bytes};
 use crate::proxy::{Proxy, ProxyMode};
-use crate::record::{Record, ServerAttempt};
+use crate::record::{CutResponse, Record, ServerAttempt};
 use crate::settings::SERVER_IDLE_TIMEOUT;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
@@ -23,6 +24,14 @@
 /// A server that runs and queues this many requests rejects further ones.
 const MAX_IN_FLIGHT: usize = 40;
 
+/// The length by which the responses of [`ServerMode::WritingSlowly`] are longer than others. The nodes do not
+/// buffer responses of this length.
+const SLOW_RESPONSE_BYTES: usize = 150_000;
+/// The number of parts in which such a response is written.
+const SLOW_RESPONSE_PARTS: usize = 4;
+/// The largest number of chunks of a response.
+const MAX_CHUNKS: usize = 50;
+
 /// How a server treats the requests that it receives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerMode {
@@ -37,6 +46,8 @@
     Rejecting,
     /// Takes five times as long as usual.
     Slow,
+    /// Answers with long bodies, and pauses between the head and the body or between parts of the body.
+    WritingSlowly,
     /// Garbles or truncates half of the responses, and closes the connection after each of them.
     Corrupting,
 }
@@ -133,13 +144,54 @@
                 return;
             };
             let keeps_connection = response.keeps_connection;
-            let _ = writer.write_all(&response.bytes).await;
+            match response.pace {
+                Pace::AtOnce => drop(writer.write_all(&response.bytes).await),
+                Pace::InParts { pause } => {
+                    let written = self.write_in_parts(&mut writer, &mut reader, id, &response.bytes, pause);
+                    if !written.await {
+                        return;
+                    }
+                }
+            }
             if !keeps_connection {
                 return;
             }
         }
     }
 
+    /// Writes a response in parts, the first of which ends with the head. Returns whether all of it was written,
+    /// and records it otherwise.
+    async fn write_in_parts(
+        &self,
+        writer: &mut WriteHalf<'_>,
+        reader: &mut BufReader<ReadHalf<'_>>,
+        id: u64,
+        bytes: &[u8],
+        pause: Duration,
+    ) -> bool {
+        let disruptions = self.proxy.disruptions_if_forwarding();
+        let head_length = bytes.windows(4).position(|window| window == b"\r\n\r\n").map_or(0, |n| n + 4);
+        let (head, body) = bytes.split_at(head_length);
+        let mut is_complete = writer.write_all(head).await.is_ok();
+        let head_at = self.record.now();
+        for part in body.chunks(body.len().div_ceil(SLOW_RESPONSE_PARTS).max(1)) {
+            // The node sends nothing while it waits for the response, so the end of the pause is its close.
+            let has_ended = tokio::time::timeout(pause, reader.fill_buf()).await.is_ok();
+            is_complete = is_complete && !has_ended && writer.write_all(part).await.is_ok();
+            if !is_complete {
+                break;
+            }
+        }
+        let is_disrupted = disruptions.is_none() || disruptions != self.proxy.disruptions_if_forwarding();
+        if is_disrupted || !self.is_up.load(Ordering::SeqCst) {
+            self.record.disrupted_responses.lock().unwrap().insert(id);
+        } else if !is_complete {
+            let cut = CutResponse { id, server: self.index, head_at, at: self.record.now() };
+            self.record.cut_responses.lock().unwrap().push(cut);
+        }
+        is_complete
+    }
+
     fn record_attempt(&self, id: u64, first_byte_at: f64, message: &Message, rejected: bool) {
         let timeout_ms = message.header("x-expires-in-ms").and_then(|ms| ms.parse::<f64>().ok());
         self.record.attempts.lock().unwrap().push(ServerAttempt {
@@ -179,7 +231,10 @@
         tokio::time::sleep(MEAN_SERVICE_TIME.mul_f64(slowdown * (0.5 + fastrand::f64()))).await;
         drop(core);
         let load = self.in_flight.fetch_sub(1, Ordering::SeqCst);
-        let body = body(id, self.index, response_number);
+        let mut body = body(id, self.index, response_number);
+        if mode == ServerMode::WritingSlowly {
+            body.extend(std::iter::repeat_n('x', SLOW_RESPONSE_BYTES));
+        }
         let headers = format!("Endpoint-Load-Metrics: TEXT inflight={load}\r\n");
         let framing = Framing::SEQUENCE[(response_number % Framing::SEQUENCE.len() as u64) as usize];
         let mut bytes = framing.response_bytes(&headers, body.as_bytes());
@@ -189,9 +244,16 @@
                 1 => bytes.truncate(20),
                 _ => bytes[0] = b'?',
             }
-            return Some(ServerResponse { bytes, keeps_connection: false });
+            return Some(ServerResponse { bytes, keeps_connection: false, pace: Pace::AtOnce });
         }
-        Some(ServerResponse { bytes, keeps_connection: framing != Framing::UntilClose })
+        let pace = match mode {
+            ServerMode::WritingSlowly if response_number.is_multiple_of(2) => {
+                Pace::InParts { pause: Duration::from_millis(300) }
+            }
+            ServerMode::WritingSlowly => Pace::InParts { pause: Duration::from_millis(100) },
+            _ => Pace::AtOnce,
+        };
+        Some(ServerResponse { bytes, keeps_connection: framing != Framing::UntilClose, pace })
     }
 }
 
@@ -224,7 +286,7 @@
             Framing::UntilClose => [&head("Connection: close\r\n"), body].concat(),
             Framing::Chunked => {
                 let mut bytes = head("Transfer-Encoding: chunked\r\n");
-                for chunk in body.chunks(10) {
+                for chunk in body.chunks(body.len().div_ceil(MAX_CHUNKS).max(10)) {
                     bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
                     bytes.extend_from_slice(chunk);
                     bytes.extend_from_slice(b"\r\n");
@@ -241,11 +303,22 @@
     bytes: Vec<u8>,
     /// Whether the connection stays open for another request.
     keeps_connection: bool,
+    pace: Pace,
+}
+
+/// How a response is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pace {
+    AtOnce,
+    /// In `SLOW_RESPONSE_PARTS` parts after the head, with a pause before each.
+    InParts {
+        pause: Duration,
+    },
 }
 
 impl ServerResponse {
     fn keep_alive(bytes: Vec<u8>) -> ServerResponse {
-        ServerResponse { bytes, keeps_connection: true }
+        ServerResponse { bytes, keeps_connection: true, pace: Pace::AtOnce }
     }
 }
 
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -2,8 +2,8 @@
 //! tasks of the soak observed, and reports none if a run kept the rules.
 use super::*;
 use crate::record::{
-    ClientRequest, ClientResponse, ConnectionClose, DisabledPeriod, ServerAttempt, ServerChange,
-    ServerChangeRecord,
+    ClientRequest, ClientResponse, ConnectionClose, CutResponse, DisabledPeriod, ProcessGap, ServerAttempt,
+    ServerChange, ServerChangeRecord,
 };
 use crate::settings::{MAX_ATTEMPTS, RequestClass};
 use std::time::Instant;
@@ -277,3 +277,36 @@
     found.sort();
     assert_eq!(found, [Rule::ProcessExit, Rule::Readiness]);
 }
+
+#[test]
+fn a_response_that_the_node_cuts_off_breaks_its_rule() {
+    let cut = CutResponse { id: ID, server: 3, head_at: 10.2, at: 10.4 };
+    let record_with = |request: ClientRequest, cut: CutResponse| {
+        let record = record(request, vec![attempt()]);
+        record.cut_responses.lock().unwrap().push(cut);
+        record
+    };
+    let kept = request(RequestClass::Bid);
+    assert_eq!(broken_rules(&record_with(kept.clone(), cut)), [Rule::CutResponse]);
+    // The node may have given up the attempt before it read the head.
+    assert_eq!(broken_rules(&record_with(kept.clone(), CutResponse { at: 10.3, ..cut })), []);
+    let left = ClientRequest { abandoned_at: Some(10.35), response: None, ..kept.clone() };
+    assert_eq!(broken_rules(&record_with(left, cut)), []);
+    let stopped = record_with(kept, cut);
+    let gap = ProcessGap { node: 0, from: 10.3, killed: false, until: 11.0 };
+    stopped.process_gaps.lock().unwrap().push(gap);
+    assert_eq!(broken_rules(&stopped), []);
+}
+
+#[test]
+fn a_truncated_response_breaks_its_rule_unless_the_server_was_disrupted() {
+    let truncated = ClientRequest {
+        response: None,
+        connection_close: Some(closed_at(10.5, true)),
+        ..request(RequestClass::View)
+    };
+    let record = record(truncated, vec![attempt()]);
+    assert_eq!(broken_rules(&record), [Rule::LostResponse]);
+    record.disrupted_responses.lock().unwrap().insert(ID);
+    assert_eq!(broken_rules(&record), []);
+}
