Reset connections in the fault soak's proxy without a regular end before the reset

Trace: attempt 0 done after 119.4 ms, that is, the node had read a complete response of the framing that ends with the connection. Cause: the proxy dropped the two halves of the node's connection one by one, and a dropped write half sends a regular end before the reset that follows. The time between head and body in the new slow answers made that visible. Now the halves are joined and closed with a reset alone.

--- a/fault-soak/src/proxy.rs
+++ b/fault-soak/src/proxy.rs
@@ -102,8 +102,10 @@
             () = copy(&mut from_server, &mut to_node, Some(self.mode.subscribe())) => false,
             _ = resets.changed() => true,
         };
-        if reset {
-            let _ = socket2::SockRef::from(to_node.as_ref()).set_linger(Some(std::time::Duration::ZERO));
+        // Dropping the halves one by one would send a regular end before the reset, and a response whose end is
+        // that of its connection would look complete.
+        if reset && let Ok(node) = from_node.reunite(to_node) {
+            let _ = socket2::SockRef::from(&node).set_linger(Some(std::time::Duration::ZERO));
         }
     }
 }
