Kill at the earliest time in the fault soak, send signals in series, and play crowds

Clients go on using the connections that they have, as before. Each third seed has crowds of 200 to 400 idle clients every 1.5 to 4 s, with random numbers of their own.

--- a/fault-soak/src/node.rs
+++ b/fault-soak/src/node.rs
@@ -10,7 +10,7 @@
 use crate::http::Message;
 use crate::process::{Process, send_command};
 use crate::record::{ProcessGap, Record, Rule};
-use crate::settings::{NodeAddresses, ProcessParameters, config};
+use crate::settings::{NodeAddresses, ProcessParameters, RequestClass, config};
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use std::fs::File;
@@ -24,14 +24,19 @@
 use tokio::net::TcpStream;
 use tokio::process::Command;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::Instant;
 
 /// How long after SIGTERM clients still open new connections to the node.
 const REMOVAL_DELAY_AFTER_SIGTERM: Duration = Duration::from_millis(300);
-/// The time that a process has to exit after SIGTERM before it is killed. The rule for deployments is that
-/// SIGKILL follows SIGTERM no sooner than the longest class deadline, which counts as at most 3 s, plus
-/// 0.7 s. The fault soak always waits the longest time that this rule can give, whatever the deadlines of
-/// its classes are.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3700);
+/// The time from SIGTERM to SIGKILL on top of the longest deadline of a class. SIGKILL never comes sooner.
+const SHUTDOWN_EXTRA_TIME: Duration = Duration::from_millis(700);
+/// The signals that a process gets when it is terminated, and the pause after each.
+const TERMINATION_SIGNALS: [Signal; 4] =
+    [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGTERM, Signal::SIGTERM];
+const TERMINATION_SIGNAL_INTERVAL: Duration = Duration::from_millis(40);
+/// The number of SIGHUPs of one reload, and the pause after each.
+const RELOAD_SIGNALS: u32 = 3;
+const RELOAD_SIGNAL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long after a process was killed clients still try to open new connections to the node.
 const REMOVAL_DELAY_AFTER_KILL: Duration = Duration::from_millis(1000);
 /// The time after which a process that is not ready yet is recorded as a violation.
@@ -246,18 +251,24 @@
     async fn stop(&self) {
         let Some(process) = self.process.lock().await.take() else { return };
         self.begin_gap(false);
-        process.signal(Signal::SIGTERM);
-        let exit = self.await_exit(process);
+        let exit = self.terminate_and_await_exit(process);
         tokio::join!(exit, async {
             tokio::time::sleep(REMOVAL_DELAY_AFTER_SIGTERM).await;
             self.set_in_rotation(false);
         });
     }
 
-    /// Waits until a terminated process has exited, and kills it after `SHUTDOWN_TIMEOUT`. Records a
-    /// violation if it was killed, failed, or logged a violation itself.
-    async fn await_exit(&self, mut process: Process) {
-        match tokio::time::timeout(SHUTDOWN_TIMEOUT, process.child.wait()).await {
+    /// Sends the process the signals of a termination and waits until it has exited. Kills it at the earliest
+    /// time at which a deployment may. Records a violation if it was killed, failed, or logged a violation
+    /// itself.
+    async fn terminate_and_await_exit(&self, mut process: Process) {
+        let longest_deadline = RequestClass::ALL.map(RequestClass::max_timeout).into_iter().max();
+        let kill_at = Instant::now() + longest_deadline.unwrap_or_default() + SHUTDOWN_EXTRA_TIME;
+        for signal in TERMINATION_SIGNALS {
+            process.signal(signal);
+            tokio::time::sleep(TERMINATION_SIGNAL_INTERVAL).await;
+        }
+        match tokio::time::timeout_at(kill_at, process.child.wait()).await {
             Ok(Ok(status)) if status.success() => {}
             Ok(status) => self.record_violation(
                 Rule::ProcessExit,
@@ -314,8 +325,7 @@
         }
         if let Some(old) = old {
             self.begin_gap(false);
-            old.signal(Signal::SIGTERM);
-            self.await_exit(old).await;
+            self.terminate_and_await_exit(old).await;
         }
     }
 
@@ -332,7 +342,10 @@
         config["discovery"] = self.addresses.discovery[discovery_index].to_string().into();
         std::fs::write(&file, config.to_string()).unwrap();
         self.deployment.discovery.set_active_address(self.index, discovery_index);
-        process.signal(Signal::SIGHUP);
+        for _ in 0..RELOAD_SIGNALS {
+            process.signal(Signal::SIGHUP);
+            tokio::time::sleep(RELOAD_SIGNAL_INTERVAL).await;
+        }
     }
 
     /// Suspends the process for `duration`.
--- a/fault-soak/src/schedule.rs
+++ b/fault-soak/src/schedule.rs
@@ -164,10 +164,17 @@
 /// Distinguishes the random numbers of [`draw_slow_responses`] from those of [`draw`].
 const SLOW_RESPONSES_SEED: u64 = 0x510e_527f;
 
+/// One in this many runs has crowds of idle clients.
+const CROWD_ONE_IN: u64 = 3;
+/// The range of the time from one crowd to the next.
+const CROWD_INTERVAL_MS: Range<u64> = 1500..4000;
+/// Distinguishes the random numbers of [`draw_crowds`] from those of [`draw`].
+const CROWD_SEED: u64 = 0x9b05_688c;
+
 /// Draws the faults of a seed, in order of time.
 ///
 /// The order of the random draws is part of the meaning of a seed: a change to it gives every seed another
-/// schedule. [`draw_slow_responses`] therefore has random numbers of its own.
+/// schedule. [`draw_slow_responses`] and [`draw_crowds`] therefore have random numbers of their own.
 pub fn draw(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
     let mut rng = Rng::with_seed(seed);
     let mut faults = Vec::new();
@@ -182,10 +189,25 @@
         at += rng.u64(GROUP_INTERVAL_MS);
     }
     faults.extend(draw_slow_responses(seed, size));
+    if seed.is_multiple_of(CROWD_ONE_IN) {
+        faults.extend(draw_crowds(seed, size));
+    }
     faults.sort_by_key(|fault| fault.at_ms);
     faults
 }
 
+fn draw_crowds(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
+    let mut rng = Rng::with_seed(seed ^ CROWD_SEED);
+    let mut faults = Vec::new();
+    let mut at_ms = rng.u64(CROWD_INTERVAL_MS);
+    while at_ms + QUIET_PERIOD_MS < size.duration_ms {
+        let fault = Fault::IdleConnections { node: rng.usize(..size.nodes), count: rng.usize(200..400) };
+        faults.push(ScheduledFault { at_ms, fault });
+        at_ms += rng.u64(CROWD_INTERVAL_MS);
+    }
+    faults
+}
+
 fn draw_slow_responses(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
     let mut rng = Rng::with_seed(seed ^ SLOW_RESPONSES_SEED);
     let mut faults = Vec::new();
