Let responses that are being forwarded end before the process does

With deadlines of 0.6 s and answers that take 1.6 s, two of four clients got 175,080 and 150,080 of 200,080 bytes; the process ended 1.11 s after SIGTERM, and SIGKILL comes 1.3 s after it at the earliest.

Cause: finish_responses waits 0.1 s, enough for answers that are there and not for those that a server still writes.

Change: once the open requests are failed and their answers are written, the process goes on while a response is being written to a client, for at most 30 s. Clients and servers that stop are disconnected after 5 to 10 s, as at any time.

--- a/src/node/frontend/shutdown.rs
+++ b/src/node/frontend/shutdown.rs
@@ -12,6 +12,8 @@
 //! 4. [`Frontend::refuse_unsubmitted`]: requests that are still being read are refused, and so is every later
 //!    one. In the same turn, the driver fails the open requests, with those whose bodies are being forwarded.
 //! 5. [`Frontend::finish_responses`]: the responses are written.
+//! 6. [`Frontend::finish_begun_responses`]: responses that are still being forwarded go on until they end or
+//!    SIGKILL comes. The end of the process would cut them off, and SIGKILL may come much later.
 
 use super::Frontend;
 use std::rc::Rc;
@@ -94,6 +96,14 @@
         }
     }
 
+    /// Waits until no response is being written any more, or until `end`.
+    pub async fn finish_begun_responses(self: &Rc<Self>, end: Instant) {
+        let is_writing = || self.clients.borrow().values().any(|client| client.is_serving());
+        while Instant::now() < end && is_writing() {
+            self.wait_for_close().await;
+        }
+    }
+
     /// Waits until a connection is closed, but not longer than until the next check is due.
     async fn wait_for_close(&self) {
         let _ = tokio::time::timeout(WIND_DOWN_CHECK_INTERVAL, self.client_closed.notified()).await;
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -61,6 +61,10 @@
 /// written.
 const SHUTDOWN_WRITE_TIME: Duration = Duration::from_millis(100);
 
+/// The upper bound of the time for which the shutdown then waits for the ends of responses that are being
+/// forwarded, if SIGKILL does not come.
+const MAX_BEGUN_RESPONSE_TIME: Duration = Duration::from_secs(30);
+
 /// A failure to start the node.
 #[derive(Debug, Error)]
 pub enum StartupError {
@@ -285,6 +289,7 @@
         frontend.refuse_unsubmitted();
         driver.fail_unanswered();
         frontend.finish_responses(Instant::now() + SHUTDOWN_WRITE_TIME).await;
+        frontend.finish_begun_responses(Instant::now() + MAX_BEGUN_RESPONSE_TIME).await;
         driver.count_unanswered();
         log::line_without_rate_limit(&format!("counters: {}", driver.counters.text()));
     }
--- a/tests/node_slow_responses.rs
+++ b/tests/node_slow_responses.rs
@@ -209,3 +209,28 @@
         }
     }
 }
+
+/// Guards against sound responses that the end of the process cuts off: 0.5 s after the longest deadline it ended, whether
+/// or not a response was still being forwarded, and SIGKILL may come much later.
+#[test]
+fn a_long_response_that_outlasts_the_shutdown_is_forwarded_whole() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let endpoint = start_slow_writer(Pace::Parts, ResponseFraming::Chunks, Duration::ZERO, &count);
+    let discovery = DiscoveryStub::start(all_up(&[endpoint]));
+    let mut node = Node::start(discovery.address, |c| {
+        for class in c["settings"]["classes"].as_array_mut().unwrap() {
+            class["objectiveMs"] = 300.into();
+            class["hardLimitMs"] = 300.into();
+        }
+    });
+    let (address, bytes) = (node.address, request("bid", 300));
+    let client = thread::spawn(move || receive(address, &bytes));
+    wait_for("the request reaches the endpoint", || count.load(Ordering::SeqCst) == 1);
+    // The response takes 1.35 s, and the process would end after 0.8 s.
+    node.terminate();
+    let received = client.join().unwrap();
+    assert_eq!(received.status, "200");
+    assert!(received.body == Some(patterned_body(LONG_BODY_BYTES)), "the response was cut off");
+    assert!(node.wait_for_exit().success());
+    assert!(node.log().contains("violations=0"));
+}
