Wait for a short response that pauses where no other attempt may follow

For a request that must not run twice nothing is gained by that: it was answered 502 while its server was about to go on.

Change: only an attempt whose request may be repeated gives up such a response early; the others wait until their time is over. Nothing of such a body is forwarded before it is whole, so its last byte counts as before.

--- a/src/node/driver/attempt.rs
+++ b/src/node/driver/attempt.rs
@@ -114,6 +114,7 @@
             deadline: started_at + clamped_duration(timeout_ms, MAX_DURATION_MS),
             send_by: started_at + clamped_duration(begin_within_ms, MAX_DURATION_MS),
             started_at,
+            may_be_repeated: state.guard.allows_repeats(open_request.facts().class),
         };
         spawn_local(run_attempt(attempt, reporter, cancellation));
     }
--- a/src/node/observability/invariants.rs
+++ b/src/node/observability/invariants.rs
@@ -75,6 +75,11 @@
         self.classes.get(class).map_or(Idempotency::NotIdempotent, |class| class.idempotency)
     }
 
+    /// Returns whether a request of a class may be sent again after an attempt that may have run.
+    pub fn allows_repeats(&self, class: usize) -> bool {
+        self.idempotency(class) != Idempotency::NotIdempotent
+    }
+
     /// Checks whether an attempt may begin at `now_ms`, in milliseconds on the balancer's clock.
     ///
     /// # Errors
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -5,7 +5,7 @@
 //! written and read on the connection, from the part of the request's body that was sent, and from the
 //! status and headers of the response.
 
-use super::connection::{ExchangeError, ReceivedResponse, UpstreamConnection, WaitEnd};
+use super::connection::{BufferLimits, ExchangeError, ReceivedResponse, UpstreamConnection, WaitEnd};
 use super::pool::{ConnectionRequest, PooledConnection, Upstream};
 use super::proxied_request::ProxiedRequest;
 use super::response_body::{ResponseBody, StreamEnd, StreamedResponseBody};
@@ -24,6 +24,9 @@
 use wheelpath::load_report_text;
 use wheelpath::policy::{AttemptOutcome, EndpointId, LoadReport};
 
+/// If no data of a short response body of known length arrives for this time, an attempt whose request may be
+/// repeated gives up the response.
+const SHORT_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(200);
 /// For how long an overdue attempt still reads response bytes that the kernel received before the deadline.
 const OVERDUE_READ_TIME: Duration = Duration::from_millis(1);
 
@@ -42,6 +45,8 @@
     pub send_by: Instant,
     /// The time at which the driver started the attempt, before the node connects.
     pub started_at: Instant,
+    /// Whether the request may be sent again after this attempt although it may have run.
+    pub may_be_repeated: bool,
 }
 
 /// The headers that go to the client with the body of a response. Without the first one, the client would
@@ -174,7 +179,9 @@
             () = attempt.proxied.wait_until_body_stalled() => WaitEnd::RequestStalled,
         }
     };
-    connection.request(request, wait_end, memory).await
+    // A response that stalls is given up early only if another attempt may bring one.
+    let stall_timeout = attempt.may_be_repeated.then_some(SHORT_BODY_STALL_TIMEOUT);
+    connection.request(request, wait_end, BufferLimits { memory, stall_timeout }).await
 }
 
 /// Returns the outcome of an attempt that was withheld after a connection was available.
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -25,10 +25,8 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use thiserror::Error;
+use tokio::time::error::Elapsed;
 
-/// If no data of a short response body of known length arrives for this time, the node stops waiting and gives
-/// up the response.
-const SHORT_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(200);
 /// A response of unknown length is buffered for at most this time, whether or not data arrives. After that, it
 /// is streamed to the client, since it may be a long one.
 const UNKNOWN_LENGTH_BUFFER_TIME: Duration = Duration::from_millis(100);
@@ -81,6 +79,16 @@
     pub rest: Option<Incoming>,
 }
 
+/// How much and for how long a response body is buffered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BufferLimits<'a> {
+    /// A body is buffered only while this allows it.
+    pub memory: &'a MemoryBudget,
+    /// A body of known length up to [`MAX_BUFFERED_BODY_BYTES`] is given up if no data of it arrives for this
+    /// time. `None` if it may take as long as the wait for the response.
+    pub stall_timeout: Option<Duration>,
+}
+
 /// Why the buffering of a response body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BufferingEnd {
@@ -174,13 +182,13 @@
 
     /// Sends one request, reads the head of its response, and buffers the body or its first part.
     ///
-    /// A body is buffered only while `memory` allows it. Stops waiting when `wait_end` completes. Returns `None` then, unless the head of a response has come
+    /// Stops waiting when `wait_end` completes. Returns `None` then, unless the head of a response has come
     /// that is streamed: what there is of the response is forwarded.
     pub(super) async fn request(
         &mut self,
         request: Request<UpstreamBody>,
         wait_end: impl Future<Output = WaitEnd>,
-        memory: &MemoryBudget,
+        limits: BufferLimits<'_>,
     ) -> Option<Result<ReceivedResponse, ExchangeError>> {
         let mut wait_end = pin!(wait_end);
         let response = tokio::select! {
@@ -196,7 +204,7 @@
         let mut buffered = BytesMut::new();
         let end = tokio::select! {
             biased;
-            end = self.buffer(&mut body, &mut buffered, memory) => end,
+            end = self.buffer(&mut body, &mut buffered, limits) => end,
             reason = wait_end => match reason {
                 WaitEnd::Overdue if !is_length_known => Ok(BufferingEnd::Stream),
                 WaitEnd::Overdue | WaitEnd::RequestStalled => return None,
@@ -211,25 +219,27 @@
 
     /// Appends a body of up to [`MAX_BUFFERED_BODY_BYTES`] to `buffered`.
     ///
-    /// The rest is to be streamed if the body is longer, if `memory` does not allow more of it, or if its length is unknown and it has not ended
+    /// The rest is to be streamed if the body is longer, if there is no memory for more of it, or if its length is unknown and it has not ended
     /// within [`UNKNOWN_LENGTH_BUFFER_TIME`]. Returns an error if a body of known length stalls for
-    /// [`SHORT_BODY_STALL_TIMEOUT`].
+    /// the time in `limits`.
     async fn buffer(
         &mut self,
         body: &mut Incoming,
         buffered: &mut BytesMut,
-        memory: &MemoryBudget,
+        limits: BufferLimits<'_>,
     ) -> Result<BufferingEnd, ExchangeError> {
         let is_length_known = body.size_hint().exact().is_some();
         if body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64 {
             return Ok(BufferingEnd::Stream);
         }
         let stream_from = Instant::now() + UNKNOWN_LENGTH_BUFFER_TIME;
-        while buffered.len() <= MAX_BUFFERED_BODY_BYTES && memory.allows_buffering() {
-            let wait_until =
-                if is_length_known { Instant::now() + SHORT_BODY_STALL_TIMEOUT } else { stream_from };
+        while buffered.len() <= MAX_BUFFERED_BODY_BYTES && limits.memory.allows_buffering() {
+            let wait_until = match limits.stall_timeout {
+                _ if !is_length_known => Some(stream_from),
+                stall_timeout => stall_timeout.map(|timeout| Instant::now() + timeout),
+            };
             let frame = UpstreamConnection::drive(&mut self.connection, body.frame());
-            match tokio::time::timeout_at(wait_until.into(), frame).await {
+            match timeout_at(wait_until, frame).await {
                 Ok(None) => {
                     self.poll_io_once().await;
                     return Ok(BufferingEnd::Complete);
@@ -294,6 +304,14 @@
     }
 }
 
+/// Waits for `operation`, at the longest until `deadline` if there is one.
+async fn timeout_at<F: Future>(deadline: Option<Instant>, operation: F) -> Result<F::Output, Elapsed> {
+    match deadline {
+        Some(deadline) => tokio::time::timeout_at(deadline.into(), operation).await,
+        None => Ok(operation.await),
+    }
+}
+
 /// Checks that the end of a response's body is unambiguous, and that its announced length is within the
 /// limit.
 ///
--- a/tests/node_slow_responses.rs
+++ b/tests/node_slow_responses.rs
@@ -145,6 +145,28 @@
     }
 }
 
+/// Guards against a short response that is cut off although no other attempt may follow: after a pause of 200 ms within
+/// it, the node answered 502 to a request that must not run twice.
+#[test]
+fn a_short_response_with_a_pause_is_forwarded_if_the_request_must_not_be_repeated() {
+    const PAUSE: Duration = Duration::from_millis(300);
+    let record = RequestRecord::default();
+    let endpoint = start_endpoint(&record, |_, _| {
+        let bytes = response("200 OK", "", &patterned_body(20_000));
+        let (first, second) = bytes.split_at(5_000);
+        ScriptedResponse::SendInTwoParts(first.to_vec(), PAUSE, second.to_vec())
+    });
+    let discovery = DiscoveryStub::start(all_up(&[endpoint]));
+    let node = Node::start(discovery.address, |c| {
+        c["settings"]["classes"][1]["objectiveMs"] = 4000.into();
+        c["settings"]["classes"][1]["hardLimitMs"] = 4000.into();
+    });
+    let received = receive(node.address, &request("bid", 4000));
+    assert_eq!(received.status, "200");
+    assert!(received.body == Some(patterned_body(20_000)));
+    assert_eq!(record.count(), 1);
+}
+
 /// What a client received.
 struct Received {
     status: String,
