Split the fault soak's responses, termination and hostile clients into modules of their own

No fault, rule or draw changes. One order changes: a request over 32 MiB is answered 413 before its method and key are compared with its class.

--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -6,7 +6,7 @@
 //! if a front-end load balancer chose the nodes for them.
 
 use crate::http::{Message, ReadError};
-use crate::record::{ClientRequest, ClientResponse, ConnectionClose, Record, Rule};
+use crate::record::{ClientRequest, ClientResponse, ConnectionClose, Record};
 use crate::settings::RequestClass;
 use fastrand::Rng;
 use std::collections::HashMap;
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 /// How long after its timeout a client still waits for a response, to tell a late response from a missing
@@ -25,18 +25,10 @@
 const MAX_TIMED_BODY_BYTES: usize = 64 * 1024;
 /// The number of bytes of a response's body that are recorded.
 const MAX_KEPT_BODY_BYTES: usize = 1000;
-/// The time within which a client that sent only a part of a request must get an error or a close.
-const PARTIAL_REQUEST_LIMIT_SECONDS: f64 = 3.0;
-/// How far `PARTIAL_REQUEST_LIMIT_SECONDS` may be exceeded before that is recorded as a violation.
-const PARTIAL_REQUEST_SLACK_SECONDS: f64 = 0.35;
-/// How long after `PARTIAL_REQUEST_LIMIT_SECONDS` the client still waits before it closes the connection.
-const PARTIAL_REQUEST_EXTRA_WAIT_SECONDS: f64 = 2.0;
 /// One in this many requests is written in two pieces.
 const SPLIT_WRITE_ONE_IN: u32 = 8;
 /// The longest pause between the two pieces of a request.
 const MAX_SPLIT_WRITE_PAUSE: Duration = Duration::from_millis(400);
-/// How long a client holds an idle connection if the node does not close it.
-const IDLE_CONNECTION_TIME: Duration = Duration::from_secs(10);
 /// Of ten requests, how many a client sends to its own node; the others go to a random one.
 const OWN_NODE_IN_TEN: u32 = 8;
 /// Of ten requests, how many reuse a connection if one is open.
@@ -70,7 +62,7 @@
     /// Whether the run is over, so that clients send no more requests.
     pub stopped: AtomicBool,
     next_id: AtomicU64,
-    record: Arc<Record>,
+    pub(crate) record: Arc<Record>,
     seed: u64,
 }
 
@@ -134,7 +126,7 @@
     }
 
     /// Connects to a node. Returns `None` if the node is not in rotation or the connection fails.
-    async fn connect(&self, node: usize) -> Option<TcpStream> {
+    pub(crate) async fn connect(&self, node: usize) -> Option<TcpStream> {
         if !self.is_in_rotation(node) {
             return None;
         }
@@ -302,34 +294,6 @@
         }
     }
 
-    /// Sends a part of a request and keeps the connection open. The node must answer with an error or a
-    /// close in time; otherwise a violation is recorded.
-    pub async fn send_partial_request(self: Arc<Self>, node: usize, seed: u64) {
-        let mut rng = Rng::with_seed(seed);
-        let Some(mut stream) = self.connect(node).await else { return };
-        let connected_at = self.record.now();
-        let bytes = request_bytes(u64::MAX - seed, RequestClass::Bid, Duration::from_secs(1), 1);
-        let length = rng.usize(..bytes.len() - 1);
-        if stream.write_all(&bytes[..length]).await.is_err() {
-            return;
-        }
-        let limit =
-            Duration::from_secs_f64(PARTIAL_REQUEST_LIMIT_SECONDS + PARTIAL_REQUEST_EXTRA_WAIT_SECONDS);
-        let mut byte = [0];
-        let reaction = tokio::time::timeout(limit, stream.read(&mut byte)).await;
-        let elapsed = self.record.now() - connected_at;
-        let stall = self.record.longest_stall(connected_at, self.record.now());
-        if reaction.is_err()
-            || elapsed > PARTIAL_REQUEST_LIMIT_SECONDS + PARTIAL_REQUEST_SLACK_SECONDS + stall
-        {
-            let description = format!(
-                "node {node}: a partial request ({length} bytes) got neither an error nor a close \
-                 for {elapsed:.2} s"
-            );
-            self.record.record_violation(Rule::MalformedRequest, description);
-        }
-    }
-
     /// Sends several requests in one write. Each must get its own response, unless an earlier one ended the
     /// connection.
     pub async fn send_pipelined_requests(self: Arc<Self>, node: usize, count: usize) {
@@ -360,14 +324,6 @@
             }
         }
     }
-
-    /// Opens a connection, sends nothing, and holds it until the node closes it or `IDLE_CONNECTION_TIME`
-    /// is over.
-    pub async fn hold_idle_connection(self: Arc<Self>, node: usize) {
-        let Some(mut stream) = self.connect(node).await else { return };
-        let mut byte = [0];
-        let _ = tokio::time::timeout(IDLE_CONNECTION_TIME, stream.read(&mut byte)).await;
-    }
 }
 
 /// Writes a request; one in `SPLIT_WRITE_ONE_IN` is written in two pieces with a pause between them.
@@ -386,7 +342,8 @@
     Ok(WriteOutcome::Complete)
 }
 
-fn request_bytes(id: u64, class: RequestClass, timeout: Duration, object: u64) -> Vec<u8> {
+/// Returns a complete request.
+pub(crate) fn request_bytes(id: u64, class: RequestClass, timeout: Duration, object: u64) -> Vec<u8> {
     let head = format!(
         "Host: api.internal\r\nX-Trace-Id: {id:016x}\r\nX-Qos: {}\r\nX-Expires-In-Ms: {}\r\nX-Object: o{object}\r\n",
         class.name(),
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -10,12 +10,14 @@
 mod fault_injection;
 #[path = "../../tests/node/faults.rs"]
 mod faults;
+mod hostile_clients;
 mod http;
 mod node;
 mod oracle;
 mod process;
 mod proxy;
 mod record;
+mod response;
 mod run;
 mod schedule;
 mod server;
--- a/fault-soak/src/node.rs
+++ b/fault-soak/src/node.rs
@@ -24,16 +24,9 @@
 use tokio::net::TcpStream;
 use tokio::process::Command;
 use tokio::sync::Mutex as AsyncMutex;
-use tokio::time::Instant;
 
 /// How long after SIGTERM clients still open new connections to the node.
 const REMOVAL_DELAY_AFTER_SIGTERM: Duration = Duration::from_millis(300);
-/// The time from SIGTERM to SIGKILL on top of the longest deadline of a class. SIGKILL never comes sooner.
-const SHUTDOWN_EXTRA_TIME: Duration = Duration::from_millis(700);
-/// The signals that a process gets when it is terminated, and the pause after each.
-const TERMINATION_SIGNALS: [Signal; 4] =
-    [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGTERM, Signal::SIGTERM];
-const TERMINATION_SIGNAL_INTERVAL: Duration = Duration::from_millis(40);
 /// The number of SIGHUPs of one reload, and the pause after each.
 const RELOAD_SIGNALS: u32 = 3;
 const RELOAD_SIGNAL_INTERVAL: Duration = Duration::from_millis(20);
@@ -258,29 +251,19 @@
         });
     }
 
-    /// Sends the process the signals of a termination and waits until it has exited. Kills it at the earliest
-    /// time at which a deployment may. Records a violation if it was killed, failed, or logged a violation
-    /// itself.
+    /// Terminates the process. Records a violation if it had to be killed, failed, or logged a violation itself.
     async fn terminate_and_await_exit(&self, mut process: Process) {
         let longest_deadline = RequestClass::ALL.map(RequestClass::max_timeout).into_iter().max();
-        let kill_at = Instant::now() + longest_deadline.unwrap_or_default() + SHUTDOWN_EXTRA_TIME;
-        for signal in TERMINATION_SIGNALS {
-            process.signal(signal);
-            tokio::time::sleep(TERMINATION_SIGNAL_INTERVAL).await;
-        }
-        match tokio::time::timeout_at(kill_at, process.child.wait()).await {
-            Ok(Ok(status)) if status.success() => {}
-            Ok(status) => self.record_violation(
+        match process.terminate(longest_deadline.unwrap_or_default()).await {
+            Some(Ok(status)) if status.success() => {}
+            Some(status) => self.record_violation(
                 Rule::ProcessExit,
                 &format!("the process exited with {status:?} after SIGTERM"),
             ),
-            Err(_) => {
-                self.record_violation(
-                    Rule::ProcessExit,
-                    "the process still ran when it had to be killed after SIGTERM",
-                );
-                let _ = process.child.kill().await;
-            }
+            None => self.record_violation(
+                Rule::ProcessExit,
+                "the process still ran when it had to be killed after SIGTERM",
+            ),
         }
         if let Some(line) = process.log_text().lines().find(|line| line.contains("violation:")) {
             self.record_violation(Rule::SelfReportedViolation, line);
--- a/fault-soak/src/process.rs
+++ b/fault-soak/src/process.rs
@@ -1,17 +1,27 @@
-//! Signals one process of a node, sends it admin commands, and reads its log.
+//! Signals and terminates one process of a node, sends it admin commands, and reads its log.
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::process::Child;
+use tokio::time::Instant;
 
 /// How long to wait for the answer to an admin command.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The time from SIGTERM to SIGKILL on top of the longest deadline of a class. SIGKILL never comes sooner.
+const SHUTDOWN_EXTRA_TIME: Duration = Duration::from_millis(700);
+/// The signals that a process gets when it is terminated.
+const TERMINATION_SIGNALS: [Signal; 4] =
+    [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGTERM, Signal::SIGTERM];
+/// The pause after each of these signals.
+const TERMINATION_SIGNAL_INTERVAL: Duration = Duration::from_millis(40);
+
 /// A process of a node.
 pub struct Process {
     /// The process itself.
@@ -30,6 +40,21 @@
         }
     }
 
+    /// Sends the signals of a termination and waits until the process has exited. Kills it at the earliest time
+    /// at which a deployment with this longest deadline may. Returns `None` then.
+    pub async fn terminate(&mut self, longest_deadline: Duration) -> Option<std::io::Result<ExitStatus>> {
+        let kill_at = Instant::now() + longest_deadline + SHUTDOWN_EXTRA_TIME;
+        for signal in TERMINATION_SIGNALS {
+            self.signal(signal);
+            tokio::time::sleep(TERMINATION_SIGNAL_INTERVAL).await;
+        }
+        let exited = tokio::time::timeout_at(kill_at, self.child.wait()).await.ok();
+        if exited.is_none() {
+            let _ = self.child.kill().await;
+        }
+        exited
+    }
+
     /// Returns whether the process answers that it is ready to take over.
     pub async fn is_ready(&self) -> bool {
         send_command(self.admin, "ready").await.is_some_and(|answer| answer.starts_with("done"))
--- a/fault-soak/src/server.rs
+++ b/fault-soak/src/server.rs
@@ -6,7 +6,8 @@
 
 use crate::http::{Message, response_bytes};
 use crate::proxy::{Proxy, ProxyMode};
-use crate::record::{CutResponse, Record, ServerAttempt};
+use crate::record::{CutResponse, Record, Rule, ServerAttempt};
+use crate::response::{Pace, SLOW_RESPONSE_PARTS, ServerResponse, body};
 use crate::settings::SERVER_IDLE_TIMEOUT;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -24,14 +25,6 @@
 /// A server that runs and queues this many requests rejects further ones.
 const MAX_IN_FLIGHT: usize = 40;
 
-/// The length by which the responses of [`ServerMode::WritingSlowly`] are longer than others. The nodes do not
-/// buffer responses of this length.
-const SLOW_RESPONSE_BYTES: usize = 150_000;
-/// The number of parts in which such a response is written.
-const SLOW_RESPONSE_PARTS: usize = 4;
-/// The largest number of chunks of a response.
-const MAX_CHUNKS: usize = 50;
-
 /// How a server treats the requests that it receives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerMode {
@@ -124,16 +117,7 @@
             if !self.is_up.load(Ordering::SeqCst) {
                 return;
             }
-            let Some(id) = message.header("x-trace-id").and_then(|id| u64::from_str_radix(id, 16).ok())
-            else {
-                // Without a valid id, the request cannot be matched with one that a client sent. It therefore
-                // counts as a request that no client sent, which `DuplicateExecution` forbids too.
-                self.record.record_violation(
-                    crate::record::Rule::DuplicateExecution,
-                    format!("a server received a request without a valid X-Trace-Id: {message:?}"),
-                );
-                return;
-            };
+            let Some(id) = self.request_id(&message) else { return };
             let mode = *self.mode.lock().unwrap();
             let rejected = mode == ServerMode::Rejecting
                 || self.in_flight.load(Ordering::SeqCst) as usize >= MAX_IN_FLIGHT;
@@ -143,22 +127,29 @@
                 let _ = Message::read(&mut reader, || {}).await;
                 return;
             };
-            let keeps_connection = response.keeps_connection;
-            match response.pace {
-                Pace::AtOnce => drop(writer.write_all(&response.bytes).await),
+            let is_written = match response.pace {
+                Pace::AtOnce => writer.write_all(&response.bytes).await.is_ok(),
                 Pace::InParts { pause } => {
-                    let written = self.write_in_parts(&mut writer, &mut reader, id, &response.bytes, pause);
-                    if !written.await {
-                        return;
-                    }
+                    self.write_in_parts(&mut writer, &mut reader, id, &response.bytes, pause).await
                 }
-            }
-            if !keeps_connection {
+            };
+            if !is_written || !response.keeps_connection {
                 return;
             }
         }
     }
 
+    /// Returns the id of a request. Records a violation if it has none: the request cannot be matched with one
+    /// that a client sent, and counts as one that no client sent, which `DuplicateExecution` forbids too.
+    fn request_id(&self, message: &Message) -> Option<u64> {
+        let id = message.header("x-trace-id").and_then(|id| u64::from_str_radix(id, 16).ok());
+        if id.is_none() {
+            let text = format!("a server received a request without a valid X-Trace-Id: {message:?}");
+            self.record.record_violation(Rule::DuplicateExecution, text);
+        }
+        id
+    }
+
     /// Writes a response in parts, the first of which ends with the head. Returns whether all of it was written,
     /// and records it otherwise.
     async fn write_in_parts(
@@ -231,99 +222,7 @@
         tokio::time::sleep(MEAN_SERVICE_TIME.mul_f64(slowdown * (0.5 + fastrand::f64()))).await;
         drop(core);
         let load = self.in_flight.fetch_sub(1, Ordering::SeqCst);
-        let mut body = body(id, self.index, response_number);
-        if mode == ServerMode::WritingSlowly {
-            body.extend(std::iter::repeat_n('x', SLOW_RESPONSE_BYTES));
-        }
-        let headers = format!("Endpoint-Load-Metrics: TEXT inflight={load}\r\n");
-        let framing = Framing::SEQUENCE[(response_number % Framing::SEQUENCE.len() as u64) as usize];
-        let mut bytes = framing.response_bytes(&headers, body.as_bytes());
-        if mode == ServerMode::Corrupting && response_number.is_multiple_of(2) {
-            match response_number % 3 {
-                0 => bytes.truncate(bytes.len() - 5),
-                1 => bytes.truncate(20),
-                _ => bytes[0] = b'?',
-            }
-            return Some(ServerResponse { bytes, keeps_connection: false, pace: Pace::AtOnce });
-        }
-        let pace = match mode {
-            ServerMode::WritingSlowly if response_number.is_multiple_of(2) => {
-                Pace::InParts { pause: Duration::from_millis(300) }
-            }
-            ServerMode::WritingSlowly => Pace::InParts { pause: Duration::from_millis(100) },
-            _ => Pace::AtOnce,
-        };
-        Some(ServerResponse { bytes, keeps_connection: framing != Framing::UntilClose, pace })
+        let body = body(id, self.index, response_number);
+        Some(ServerResponse::served(mode, body, response_number, load))
     }
 }
-
-/// How a response marks the end of its body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    ContentLength,
-    Chunked,
-    /// The body ends with the connection.
-    UntilClose,
-}
-
-impl Framing {
-    /// The framings of successive responses, in turn; the more usual ones occur more often.
-    const SEQUENCE: [Framing; 8] = [
-        Framing::ContentLength,
-        Framing::ContentLength,
-        Framing::Chunked,
-        Framing::ContentLength,
-        Framing::ContentLength,
-        Framing::UntilClose,
-        Framing::ContentLength,
-        Framing::Chunked,
-    ];
-
-    fn response_bytes(self, headers: &str, body: &[u8]) -> Vec<u8> {
-        let head = |framing: &str| format!("HTTP/1.1 200 OK\r\n{headers}{framing}\r\n").into_bytes();
-        match self {
-            Framing::ContentLength => response_bytes("200 OK", headers, body),
-            Framing::UntilClose => [&head("Connection: close\r\n"), body].concat(),
-            Framing::Chunked => {
-                let mut bytes = head("Transfer-Encoding: chunked\r\n");
-                for chunk in body.chunks(body.len().div_ceil(MAX_CHUNKS).max(10)) {
-                    bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
-                    bytes.extend_from_slice(chunk);
-                    bytes.extend_from_slice(b"\r\n");
-                }
-                bytes.extend_from_slice(b"0\r\n\r\n");
-                bytes
-            }
-        }
-    }
-}
-
-/// A response to one request, as it is written to the connection.
-struct ServerResponse {
-    bytes: Vec<u8>,
-    /// Whether the connection stays open for another request.
-    keeps_connection: bool,
-    pace: Pace,
-}
-
-/// How a response is written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Pace {
-    AtOnce,
-    /// In `SLOW_RESPONSE_PARTS` parts after the head, with a pause before each.
-    InParts {
-        pause: Duration,
-    },
-}
-
-impl ServerResponse {
-    fn keep_alive(bytes: Vec<u8>) -> ServerResponse {
-        ServerResponse { bytes, keeps_connection: true, pace: Pace::AtOnce }
-    }
-}
-
-/// The body of the response to a request that a server ran. It names the request and the server, so that
-/// the oracle can tell which attempt the response belongs to.
-pub fn body(id: u64, server: usize, response_number: u64) -> String {
-    format!("{id:016x} served by {server} as {response_number}")
-}
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -33,7 +33,7 @@
 }
 
 fn body(server: usize) -> String {
-    crate::server::body(ID, server, 1)
+    crate::response::body(ID, server, 1)
 }
 
 /// An attempt that reached server 3 at 10.1 s, which is 0.1 s after the request was sent.
@@ -209,7 +209,7 @@
         for n in 0..count {
             let id = 100 + n as u64;
             let at = 10.0 + 0.5 * n as f64 / count as f64;
-            let response = Some(response(at + 0.1, 200, crate::server::body(id, 3, 1)));
+            let response = Some(response(at + 0.1, 200, crate::response::body(id, 3, 1)));
             let request =
                 ClientRequest { node: n % 2, sent_at: at, response, ..request(RequestClass::View) };
             record.requests.lock().unwrap().insert(id, request);
--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -173,6 +173,13 @@
         RequestReader { names, classes, trace_ids: TraceIds::new(shared_trace_ids), bodies }
     }
 
+    /// Returns the class that a request names, with its index.
+    fn class(&self, head: &Parts) -> Result<(usize, &RequestClass), RequestRejection> {
+        let index = self.names.class_index(header_text(head, headers::CLASS).unwrap_or_default());
+        let class = self.classes.get(index);
+        Ok((index, class.ok_or(RequestRejection::malformed("X-Qos names no class\n"))?))
+    }
+
     /// Reads and checks a request. Returns the rejection if the request is not valid, if its body does not
     /// arrive, or if there is no memory for the body. `socket` is the client's.
     pub(super) async fn read(
@@ -186,15 +193,10 @@
             return Err(RequestRejection::no_memory("no memory for the request\n"));
         }
         let trace_id = trace_id(&head)?;
-        let class_index = self.names.class_index(header_text(&head, headers::CLASS).unwrap_or_default());
-        let class = self.classes.get(class_index);
-        let class = class.ok_or(RequestRejection::malformed("X-Qos names no class\n"))?;
+        let (class_index, class) = self.class(&head)?;
         let length = body_length(&head)?;
         check_idempotency(class, &head, length)?;
         let timeout = client_timeout(class, &head)?;
-        if length.is_some_and(|length| length > MAX_BODY_BYTES as u64) {
-            return Err(RequestRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
-        }
         let incoming = IncomingBody { body, length, started_at: arrival.head_read_at };
         let CollectedBody { body, memory } = self.bodies.collect(incoming, socket).await?;
         let is_empty = matches!(&body, RequestBody::Buffered(bytes) if bytes.is_empty());
@@ -236,8 +238,16 @@
 }
 
 /// Returns the length of the body. Returns `None` for a chunked body, whose length is not known before its
-/// end. Rejects a body in a transfer coding that the node cannot undo.
+/// end. Rejects a body that is too long, or in a transfer coding that the node cannot undo.
 fn body_length(head: &Parts) -> Result<Option<u64>, RequestRejection> {
+    let length = announced_length(head)?;
+    if length.is_some_and(|length| length > MAX_BODY_BYTES as u64) {
+        return Err(RequestRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
+    }
+    Ok(length)
+}
+
+fn announced_length(head: &Parts) -> Result<Option<u64>, RequestRejection> {
     if transfer_coding(&head.headers)? == TransferCoding::Chunked {
         return Ok(None);
     }
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -249,14 +249,13 @@
             sockets.peers,
         );
         let shared_trace_ids = if is_listener_shared { SharedTraceIds::open() } else { None };
+        let max_open_requests = settings.max_open_requests as usize;
         let reader =
             RequestReader::new(names, settings.classes, body_memory_bytes, memory, shared_trace_ids);
-        let max_open_requests = settings.max_open_requests as usize;
         let frontend =
             Frontend::new(driver.clone(), reader, max_open_requests, max_buffer_bytes, descriptors.clone());
         if let Some(listener) = sockets.admin {
-            let takeover = takeover.clone();
-            let admin = AdminServer::new(driver.clone(), frontend.clone(), takeover, descriptors);
+            let admin = AdminServer::new(driver.clone(), frontend.clone(), takeover.clone(), descriptors);
             spawn_local(admin.accept(listener));
         }
         log_start(&config.name, config.listen, config.admin_listen, &sockets.client_listener);
