Read ahead to see a client's close behind its pipelined requests

Change: the bytes behind a request are read ahead, up to 32 KiB, until there are none, and what comes then shows whether the client has closed. If there are more, the request is refused as before. This happens before the cutoff of a shutdown and again as an attempt begins. The rest of a streamed body is not read ahead. poll(2) is not used any more.

--- a/src/node/driver/attempt.rs
+++ b/src/node/driver/attempt.rs
@@ -11,9 +11,8 @@
 use crate::observability::log;
 use crate::observability::request_trace::WithheldReason;
 use crate::system::clock::clamped_duration;
-use crate::upstream::{
-    Attempt, AttemptEnd, AttemptResult, BodyCompletion, ClientPresence, UpstreamConnection,
-};
+use crate::system::socket::ReadAhead;
+use crate::upstream::{Attempt, AttemptEnd, AttemptResult, BodyCompletion, UpstreamConnection};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -142,10 +141,10 @@
         let Some(open_request) = state.requests.get_mut(id) else {
             return Err(WithheldReason::RequestOver);
         };
-        let client = open_request.proxied.client_presence();
-        let check_result = if !open_request.awaits_answer() || client == ClientPresence::Left {
+        let client = open_request.proxied.look_for_close();
+        let check_result = if !open_request.awaits_answer() || client == ReadAhead::Closed {
             Err(WithheldReason::RequestOver)
-        } else if client == ClientPresence::Unknown {
+        } else if client == ReadAhead::Full {
             Err(WithheldReason::ClientUnknown)
         } else if !is_routable {
             Err(WithheldReason::EndpointWithdrawn)
--- a/src/node/frontend/connection.rs
+++ b/src/node/frontend/connection.rs
@@ -14,9 +14,9 @@
 use crate::observability::counters::{CounterKind, Violation};
 use crate::observability::log;
 use crate::system::descriptors::DescriptorPermit;
-use crate::system::socket::Socket;
-use crate::upstream::ClientPresence;
+use crate::system::socket::{ReadAhead, Socket};
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
@@ -41,7 +41,7 @@
 /// The response to a request that has both a Content-Length and a Transfer-Encoding header.
 const CONFLICTING_FRAMING: &str = "both a length and chunks\n";
 
-/// The response to a request behind which too many other bytes wait.
+/// The response to a request behind which so many other bytes wait that its client's close would not be seen.
 const TOO_MANY_PIPELINED_BYTES: &str = "too many bytes behind the request\n";
 
 /// The client has disconnected before its request was answered.
@@ -255,7 +255,7 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            let read = self.reader.read(arrival, head, body, &client.socket);
+            let read = self.read_request(arrival, head, body, &client.socket);
             let parsed = self.request_cutoff.run_before(read).await;
             match parsed.unwrap_or_else(|| Err(RequestRejection::stopping())) {
                 Ok(parsed) => self.submit(parsed, &client.socket).await?,
@@ -278,6 +278,21 @@
         Ok(response)
     }
 
+    /// Reads and checks a request, and then what the client has sent behind it, so that a close behind that shows.
+    async fn read_request(
+        &self,
+        arrival: ArrivalTime,
+        head: Parts,
+        body: Incoming,
+        socket: &Socket,
+    ) -> Result<ParsedRequest, RequestRejection> {
+        let parsed = self.reader.read(arrival, head, body, socket).await?;
+        while parsed.proxied.look_for_close() == ReadAhead::Bytes {
+            tokio::task::yield_now().await;
+        }
+        Ok(parsed)
+    }
+
     /// Returns the response to `/up`, which tells by its status whether the node accepts clients.
     fn health_response(&self, method: &Method) -> ClientResponse {
         if !matches!(*method, Method::GET | Method::HEAD) {
@@ -303,10 +318,10 @@
         }
         let ParsedRequest { request, proxied, deadline, expires_at, trace_id_guard: _trace_id_guard } =
             parsed;
-        match proxied.client_presence() {
-            ClientPresence::Present => {}
-            ClientPresence::Left => return Err(ClientDisconnected),
-            ClientPresence::Unknown => {
+        match proxied.look_for_close() {
+            ReadAhead::Nothing | ReadAhead::Bytes => {}
+            ReadAhead::Closed => return Err(ClientDisconnected),
+            ReadAhead::Full => {
                 self.count_rejection(TOO_MANY_PIPELINED_BYTES);
                 return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, TOO_MANY_PIPELINED_BYTES));
             }
--- a/src/node/system/socket.rs
+++ b/src/node/system/socket.rs
@@ -3,11 +3,10 @@
 use super::descriptors::DescriptorPermit;
 use super::length_headers::LengthHeaderCounter;
 use super::syscall_errors::{is_interrupted, is_out_of_buffers};
-use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
-use std::cell::Cell;
-use std::io::{self, ErrorKind, IoSlice};
+use bytes::BytesMut;
+use std::cell::{Cell, RefCell};
+use std::io::{self, ErrorKind, IoSlice, Read};
 use std::net::Shutdown;
-use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
@@ -19,6 +18,11 @@
 /// clients receive 64 kB per second, so it takes them two seconds to receive this many bytes.
 const MAX_UNSENT_BYTES: u32 = 128 * 1024;
 
+/// The maximum number of bytes that are read ahead of the owner of a socket.
+const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
+/// The number of bytes that are read ahead at a time.
+const READ_AHEAD_PART_BYTES: usize = 4096;
+
 /// Whether the owner of a socket holds bytes that the system has not taken yet.
 #[derive(Clone, Copy)]
 enum WriteBacklog {
@@ -29,8 +33,23 @@
     Waiting,
 }
 
+/// What [`PeerObserver::read_ahead`] found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadAhead {
+    /// There was nothing to read, and the peer has not closed the connection.
+    Nothing,
+    /// There were bytes to read. More may follow them at once, now that the system has room for them.
+    Bytes,
+    /// As many bytes as may be kept have been read ahead, and there may be others behind them.
+    Full,
+    /// The peer has closed its sending side or reset the connection.
+    Closed,
+}
+
 struct Inner {
     stream: TcpStream,
+    /// Bytes that were read before the owner of the socket asked for them.
+    read_ahead: RefCell<BytesMut>,
     bytes_read: Cell<u64>,
     bytes_written: Cell<u64>,
     /// Whether the last read found no bytes.
@@ -46,6 +65,44 @@
     _permit: DescriptorPermit,
 }
 
+impl Inner {
+    /// Takes up to `max_bytes` of the bytes that were read ahead. Returns `None` if there are none.
+    fn take_read_ahead(&self, max_bytes: usize) -> Option<BytesMut> {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let length = read_ahead.len().min(max_bytes);
+        let bytes = (length > 0).then(|| read_ahead.split_to(length));
+        if read_ahead.is_empty() {
+            // Frees the memory, which only clients that pipeline requests take up.
+            *read_ahead = BytesMut::new();
+        }
+        bytes
+    }
+
+    /// See [`PeerObserver::read_ahead`].
+    fn read_ahead(&self) -> ReadAhead {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let length_before = read_ahead.len();
+        let mut part = [0; READ_AHEAD_PART_BYTES];
+        while read_ahead.len() < MAX_READ_AHEAD_BYTES {
+            // Asks the system, because the poller may not have reported the latest state yet.
+            match (&*socket2::SockRef::from(&self.stream)).read(&mut part) {
+                Ok(0) => return ReadAhead::Closed,
+                Ok(length) => read_ahead.extend_from_slice(&part[..length]),
+                Err(e) if is_interrupted(&e) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock || is_out_of_buffers(&e) => break,
+                Err(_) => return ReadAhead::Closed,
+            }
+        }
+        if read_ahead.len() >= MAX_READ_AHEAD_BYTES {
+            ReadAhead::Full
+        } else if read_ahead.len() > length_before {
+            ReadAhead::Bytes
+        } else {
+            ReadAhead::Nothing
+        }
+    }
+}
+
 /// A TCP socket with its descriptor permit. Clones refer to the same socket, which is closed with the last
 /// clone.
 #[derive(Clone)]
@@ -59,6 +116,7 @@
         let _ = stream.set_nodelay(true);
         Socket(Rc::new(Inner {
             stream,
+            read_ahead: RefCell::default(),
             bytes_read: Cell::new(0),
             bytes_written: Cell::new(0),
             awaits_bytes: Cell::new(false),
@@ -70,8 +128,8 @@
         }))
     }
 
-    /// Returns the number of bytes read through this socket so far, without those that were peeked at or
-    /// discarded.
+    /// Returns the number of bytes that the owner has read through this socket so far, without those that were
+    /// read ahead, peeked at or discarded.
     pub fn bytes_read(&self) -> u64 {
         self.0.bytes_read.get()
     }
@@ -137,6 +195,7 @@
     /// been discarded. The last read may exceed `max_bytes`.
     pub async fn discard(&self, mut max_bytes: usize) {
         let mut discarded = [0; 4096];
+        self.0.read_ahead.take();
         while max_bytes > 0 && self.0.stream.readable().await.is_ok() {
             match self.0.stream.try_read(&mut discarded) {
                 Ok(0) => return,
@@ -177,6 +236,9 @@
     /// Returns `true` if the socket has no unread bytes and the peer has neither closed nor reset the
     /// connection. Asks the system, because the poller may not have reported the latest state yet.
     pub fn is_open_without_unread_bytes(&self) -> bool {
+        if !self.0.read_ahead.borrow().is_empty() {
+            return false;
+        }
         let mut byte = [std::mem::MaybeUninit::uninit()];
         loop {
             match socket2::SockRef::from(&self.0.stream).peek(&mut byte) {
@@ -204,29 +266,12 @@
         self.0.upgrade()?.awaited_bytes_read_at.get()
     }
 
-    /// Returns whether the peer has closed its sending side or reset the connection, as far as the system knows
-    /// now. Returns `true` if the socket is closed.
-    pub fn has_closed(&self) -> bool {
-        let Some(inner) = self.0.upgrade() else { return true };
-        let mut polled = [PollFd::new(inner.stream.as_fd(), PollFlags::from_bits_retain(libc::POLLRDHUP))];
-        if poll(&mut polled, PollTimeout::ZERO).is_err() {
-            return false;
-        }
-        // `POLLRDHUP` is none of the flags that the library knows, and makes `revents` return `None`.
-        polled[0].revents().is_none_or(|found| !found.is_empty())
-    }
-
-    /// Returns whether at least `bytes` bytes of the peer wait unread in the system.
-    pub fn has_unread_bytes(&self, bytes: usize) -> bool {
-        let Some(inner) = self.0.upgrade() else { return false };
-        let socket = socket2::SockRef::from(&inner.stream);
-        let mut first_byte = [std::mem::MaybeUninit::uninit()];
-        // Most connections have nothing to read, and need no buffer for the check.
-        if socket.peek(&mut first_byte).is_err() {
-            return false;
-        }
-        let mut buffer = Vec::with_capacity(bytes);
-        socket.peek(buffer.spare_capacity_mut()).is_ok_and(|found| found >= bytes)
+    /// Reads the bytes of the peer that the system holds, and keeps them for the owner of the socket.
+    ///
+    /// The system does not see that the peer closes the connection while bytes before the close fill its receive
+    /// buffer. The buffer may be full with few bytes, so their number tells nothing.
+    pub fn read_ahead(&self) -> ReadAhead {
+        self.0.upgrade().map_or(ReadAhead::Closed, |inner| inner.read_ahead())
     }
 
     /// Returns the size of the receive buffer, in bytes, which unread bytes cannot exceed. Returns `None` if the
@@ -251,6 +296,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Some(bytes) = self.0.take_read_ahead(buf.remaining()) {
+            buf.put_slice(&bytes);
+            self.record_read(&bytes);
+            return Poll::Ready(Ok(()));
+        }
         loop {
             if self.0.stream.poll_read_ready(cx)?.is_pending() {
                 self.0.awaits_bytes.set(true);
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -22,7 +22,7 @@
 pub use connection::{ExchangeError, UpstreamConnection};
 pub use minimum_rate::MinimumRate;
 pub use pool::{ConnectionTimeouts, Upstream};
-pub use proxied_request::{ClientPresence, ProxiedRequest, RequestBody};
+pub use proxied_request::{ProxiedRequest, RequestBody};
 pub use request_body::{BodyCompletion, StreamedRequestBody, UpstreamBody};
 pub use response_body::ResponseBody;
 
--- a/src/node/upstream/proxied_request.rs
+++ b/src/node/upstream/proxied_request.rs
@@ -6,7 +6,7 @@
 use super::request_body::{BodyCompletion, StreamedRequestBody, UpstreamBody};
 use crate::headers;
 use crate::observability::request_trace::BodyProgress;
-use crate::system::socket::PeerObserver;
+use crate::system::socket::{PeerObserver, ReadAhead};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
@@ -17,10 +17,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
 
-/// The number of bytes that a client may have sent after a request. With more, the receive buffer may be full,
-/// and the system then does not learn that the client closes its connection.
-const MAX_OBSERVABLE_UNREAD_BYTES: usize = 32 * 1024;
-
 /// A client's request as it is forwarded to endpoints, without headers that concern only the client's
 /// connection.
 pub struct ProxiedRequest {
@@ -41,18 +37,6 @@
     pub _memory_permit: Option<OwnedSemaphorePermit>,
 }
 
-/// Whether a client still waits for the response to its request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClientPresence {
-    /// The client has not closed its connection.
-    Present,
-    /// The client has closed its connection.
-    Left,
-    /// The client has sent so many bytes after the request that its close may wait behind them, where this
-    /// machine cannot see it.
-    Unknown,
-}
-
 /// The body of a client's request.
 pub enum RequestBody {
     /// The complete body is in memory, and can be sent again.
@@ -67,16 +51,13 @@
         self.headers.get(headers::TRACE_ID)
     }
 
-    /// Returns whether the client still waits, as far as the system knows now.
-    pub fn client_presence(&self) -> ClientPresence {
-        // The rest of a streamed body waits there as well, but no server executes a request without its end.
-        let is_buffered = matches!(self.body, RequestBody::Buffered(_));
-        if self.client.has_closed() {
-            ClientPresence::Left
-        } else if is_buffered && self.client.has_unread_bytes(MAX_OBSERVABLE_UNREAD_BYTES) {
-            ClientPresence::Unknown
-        } else {
-            ClientPresence::Present
+    /// Looks for the client's close behind the bytes that it has sent after the request. Returns
+    /// [`ReadAhead::Nothing`] while the client sends a streamed body: no endpoint executes a request without its
+    /// end.
+    pub fn look_for_close(&self) -> ReadAhead {
+        match self.body {
+            RequestBody::Buffered(_) => self.client.read_ahead(),
+            RequestBody::Streamed(_) => ReadAhead::Nothing,
         }
     }
 
