Excuse no more than meant in the fault soak's rules on cut and missing responses

A request that got nothing at all was excused if one of its responses was disrupted, though only a begun one may end incomplete; the client now records whether a part had arrived. And after an upgrade each later cut at that node was excused, since the gap of an upgrade goes on until a later start; now the excuse ends when the stopped process may be killed. Both make the oracle stricter.

The time to the kill is one function, which the termination and the oracle share.

--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -237,7 +237,10 @@
             Ok(Err(error)) => self.record_close(id, &connection, matches!(error, ReadError::Incomplete)),
             Err(_) => {
                 drop(connection);
-                self.update_request(id, |request, now| request.abandoned_at = Some(now));
+                self.update_request(id, |request, now| {
+                    request.abandoned_at = Some(now);
+                    request.is_response_partial = first_byte_at > 0.0;
+                });
                 RequestOutcome::Ended
             }
         }
@@ -253,6 +256,7 @@
             on_new_connection: false,
             abandoned_at: None,
             response: None,
+            is_response_partial: false,
             connection_close: None,
         }
     }
--- a/fault-soak/src/node.rs
+++ b/fault-soak/src/node.rs
@@ -10,7 +10,7 @@
 use crate::http::Message;
 use crate::process::{Process, send_command};
 use crate::record::{ProcessGap, Record, Rule};
-use crate::settings::{NodeAddresses, ProcessParameters, RequestClass, config};
+use crate::settings::{NodeAddresses, ProcessParameters, config};
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use std::fs::File;
@@ -27,8 +27,9 @@
 
 /// How long after SIGTERM clients still open new connections to the node.
 const REMOVAL_DELAY_AFTER_SIGTERM: Duration = Duration::from_millis(300);
-/// The number of SIGHUPs of one reload, and the pause after each.
+/// The number of SIGHUPs of one reload.
 const RELOAD_SIGNALS: u32 = 3;
+/// The pause after each of them.
 const RELOAD_SIGNAL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long after a process was killed clients still try to open new connections to the node.
 const REMOVAL_DELAY_AFTER_KILL: Duration = Duration::from_millis(1000);
@@ -253,8 +254,7 @@
 
     /// Terminates the process. Records a violation if it had to be killed, failed, or logged a violation itself.
     async fn terminate_and_await_exit(&self, mut process: Process) {
-        let longest_deadline = RequestClass::ALL.map(RequestClass::max_timeout).into_iter().max();
-        match process.terminate(longest_deadline.unwrap_or_default()).await {
+        match process.terminate().await {
             Some(Ok(status)) if status.success() => {}
             Some(status) => self.record_violation(
                 Rule::ProcessExit,
--- a/fault-soak/src/oracle/request_rules.rs
+++ b/fault-soak/src/oracle/request_rules.rs
@@ -1,6 +1,7 @@
 //! The rules for one request and its attempts.
 
 use super::{Checker, DELAYED_WRITE_SLACK_SECONDS, Violation};
+use crate::process::kill_delay;
 use crate::record::{ClientRequest, ClientResponse, ConnectionClose, CutResponse, Rule, ServerAttempt};
 use crate::settings::{DEDUPLICATION_WINDOW, MAX_ATTEMPTS, RequestClass};
 
@@ -89,8 +90,9 @@
         // then retries on a new connection, so the response is lost only if the node had read the request.
         let is_close_race = !request.on_new_connection && is_closed_before_response;
         let is_lost = !is_close_race || !history.attempts.is_empty();
+        let was_begun =
+            request.is_response_partial || request.connection_close.is_some_and(|close| close.mid_response);
         let is_disrupted = self.record.disrupted_responses.lock().unwrap().contains(&history.id);
-        let was_begun = !is_closed_before_response;
         if !is_lost || is_disrupted && was_begun || self.was_killed(request.node, request.sent_at, at) {
             return None;
         }
@@ -104,10 +106,12 @@
         let request = self.requests.get(&cut.id)?;
         let slack = self.slack(cut.at);
         let has_left = request.abandoned_at.is_some_and(|at| at <= cut.at + slack);
+        let stop_time = kill_delay().as_secs_f64();
         let gaps = self.record.process_gaps.lock().unwrap();
-        let was_stopped = gaps
-            .iter()
-            .any(|gap| gap.node == request.node && gap.from <= cut.at + slack && gap.until >= cut.head_at);
+        let was_stopped = gaps.iter().filter(|gap| gap.node == request.node).any(|gap| {
+            let stop = gap.from - slack..=gap.from + stop_time + slack;
+            stop.contains(&cut.at)
+        });
         // An attempt may be given up before its node has read the head.
         let written_for = cut.at - cut.head_at;
         if has_left || was_stopped || written_for < MIN_CUT_SECONDS + slack {
--- a/fault-soak/src/process.rs
+++ b/fault-soak/src/process.rs
@@ -1,5 +1,6 @@
 //! Signals and terminates one process of a node, sends it admin commands, and reads its log.
 
+use crate::settings::RequestClass;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use std::net::SocketAddr;
@@ -22,6 +23,12 @@
 /// The pause after each of these signals.
 const TERMINATION_SIGNAL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// The time from SIGTERM to the earliest SIGKILL.
+pub fn kill_delay() -> Duration {
+    let longest_deadline = RequestClass::ALL.map(RequestClass::max_timeout).into_iter().max();
+    longest_deadline.unwrap_or_default() + SHUTDOWN_EXTRA_TIME
+}
+
 /// A process of a node.
 pub struct Process {
     /// The process itself.
@@ -40,10 +47,10 @@
         }
     }
 
-    /// Sends the signals of a termination and waits until the process has exited. Kills it at the earliest time
-    /// at which a deployment with this longest deadline may. Returns `None` then.
-    pub async fn terminate(&mut self, longest_deadline: Duration) -> Option<std::io::Result<ExitStatus>> {
-        let kill_at = Instant::now() + longest_deadline + SHUTDOWN_EXTRA_TIME;
+    /// Sends the signals of a termination and waits until the process has exited. Kills it after
+    /// [`kill_delay`], and returns `None` then.
+    pub async fn terminate(&mut self) -> Option<std::io::Result<ExitStatus>> {
+        let kill_at = Instant::now() + kill_delay();
         for signal in TERMINATION_SIGNALS {
             self.signal(signal);
             tokio::time::sleep(TERMINATION_SIGNAL_INTERVAL).await;
--- a/fault-soak/src/record.rs
+++ b/fault-soak/src/record.rs
@@ -49,6 +49,8 @@
     pub abandoned_at: Option<f64>,
     /// The response; `None` until it is complete.
     pub response: Option<ClientResponse>,
+    /// Whether a part of a response had arrived when the client stopped waiting for the rest.
+    pub is_response_partial: bool,
     /// How the node ended the connection; `None` if the client got a response or closed the connection
     /// itself.
     pub connection_close: Option<ConnectionClose>,
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -20,6 +20,7 @@
         on_new_connection: true,
         abandoned_at: None,
         response: Some(response(10.3, 200, body(3))),
+        is_response_partial: false,
         connection_close: None,
     }
 }
@@ -296,6 +297,21 @@
     let gap = ProcessGap { node: 0, from: 10.3, killed: false, until: 11.0 };
     stopped.process_gaps.lock().unwrap().push(gap);
     assert_eq!(broken_rules(&stopped), []);
+    // The gap of an upgrade goes on until a later start, and the process that took over is not being stopped.
+    let long_after = record_with(request(RequestClass::Bid), cut);
+    let gap = ProcessGap { node: 0, from: 5.0, killed: false, until: f64::INFINITY };
+    long_after.process_gaps.lock().unwrap().push(gap);
+    assert_eq!(broken_rules(&long_after), [Rule::CutResponse]);
+}
+
+#[test]
+fn a_request_without_any_response_is_lost_though_a_response_was_disrupted() {
+    let waited = ClientRequest { response: None, abandoned_at: Some(15.0), ..request(RequestClass::View) };
+    for (is_response_partial, expected) in [(false, vec![Rule::LostResponse]), (true, vec![])] {
+        let record = record(ClientRequest { is_response_partial, ..waited.clone() }, vec![attempt()]);
+        record.disrupted_responses.lock().unwrap().insert(ID);
+        assert_eq!(broken_rules(&record), expected);
+    }
 }
 
 #[test]
