--- a/src/node/discovery/endpoint_list.rs
+++ b/src/node/discovery/endpoint_list.rs
@@ -99,8 +99,7 @@
     if state != EndpointState::Active {
         // The other fields of an endpoint that leaves service have no effect, and an invalid one must not
         // keep the endpoint in service.
-        let update = EndpointUpdate { endpoint, zone: 0, cell: 0, state, weight: 1.0, started_at_ms: 0.0 };
-        return Ok(DiscoveredEndpoint { update, boot_ms: 0.0, address });
+        return Ok(DiscoveredEndpoint::inactive(endpoint, state, address));
     }
     let number = |field: &'static str, default: f64| match entry.get(field) {
         None | Some(Value::Null) => Ok(default),
--- a/src/node/discovery/mod.rs
+++ b/src/node/discovery/mod.rs
@@ -14,10 +14,15 @@
 //! no response.
 //!
 //! [`endpoint_list`] parses lists, [`client`] makes calls, and [`watch`] decides which call comes next.
+//! [`initial_list`] chooses the list that a process starts with, and [`list_tracker`] tracks which list it has.
 
 mod client;
 mod endpoint_list;
+mod initial_list;
+mod list_tracker;
 mod watch;
 
 pub use endpoint_list::EndpointList;
+pub use initial_list::{InitialList, SharedList};
+pub use list_tracker::{ListPosition, ListState, ListTracker};
 pub use watch::{DiscoveryWatch, WatchSetup};
--- a/src/node/discovery/watch.rs
+++ b/src/node/discovery/watch.rs
@@ -15,10 +15,10 @@
 
 use super::client::{CallKind, CallOutcome, DiscoveryClient, DiscoveryError};
 use super::endpoint_list::EndpointList;
+use super::list_tracker::ListTracker;
 use crate::driver::{Driver, DriverEvent};
 use crate::observability::log;
 use crate::system::descriptors::Descriptors;
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -69,6 +69,14 @@
     Watching,
 }
 
+/// The beginning of a call to discovery.
+#[derive(Clone, Copy, Debug)]
+struct CallStart {
+    at: Instant,
+    /// The numbering of the list that this process had.
+    numbering: u64,
+}
+
 /// When a failed call is repeated.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Retry {
@@ -90,14 +98,13 @@
     pub descriptors: Rc<Descriptors>,
     /// Receives `true` when the balancer starts the watch and `false` when it stops the watch.
     pub watch_requests: mpsc::UnboundedReceiver<bool>,
-    /// Version of the list that the node has; `None` if it has to request the full list. The state file
-    /// stores this version for the next process. The first call requests only the changes after it: a
-    /// full list costs the service one line for each endpoint, and after an outage all nodes start at
-    /// once.
-    pub version: Rc<Cell<Option<u64>>>,
-    /// Whether the previous process knew a newer list than this one started with. The first call is then
-    /// made at once, and not when the balancer starts the watch.
-    pub is_list_outdated: bool,
+    /// Tracks the list of this process; the watch records each update there.
+    pub list: Rc<ListTracker>,
+    /// The first call requests the changes after this version, or the full list if it is `None`. A full
+    /// list costs the service one line for each endpoint, and after an outage all nodes start at once.
+    pub base_version: Option<u64>,
+    /// Whether the first call is made at once, and not when the balancer starts the watch.
+    pub starts_at_once: bool,
     /// Source of the jitter.
     pub rng: fastrand::Rng,
 }
@@ -111,7 +118,7 @@
     /// The address that calls are made to.
     address: SocketAddr,
     watch_requests: mpsc::UnboundedReceiver<bool>,
-    shared_version: Rc<Cell<Option<u64>>>,
+    list: Rc<ListTracker>,
     /// The next call requests the changes after this version, or the full list if it is `None`.
     version: Option<u64>,
     consecutive_failures: u32,
@@ -123,10 +130,9 @@
 }
 
 impl DiscoveryWatch {
-    /// Creates a watch that has made no call. In push mode, or if the list is outdated, it does not wait
-    /// for the balancer to start it.
+    /// Creates a watch that has made no call. In push mode it never waits for the balancer to start it.
     pub fn new(setup: WatchSetup) -> DiscoveryWatch {
-        let starts_at_once = setup.mode == DiscoveryMode::Push || setup.is_list_outdated;
+        let starts_at_once = setup.mode == DiscoveryMode::Push || setup.starts_at_once;
         let address = *setup.address.borrow();
         DiscoveryWatch {
             state: if starts_at_once { WatchState::CatchingUp } else { WatchState::Paused },
@@ -135,8 +141,8 @@
             address_receiver: setup.address,
             address,
             watch_requests: setup.watch_requests,
-            version: setup.version.get(),
-            shared_version: setup.version,
+            version: setup.base_version,
+            list: setup.list,
             consecutive_failures: 0,
             has_repeated_immediately: false,
             address_change_deadline: Instant::now(),
@@ -161,7 +167,7 @@
                 WatchState::CatchingUp => CallKind::CatchUp,
                 WatchState::Watching => CallKind::Watch { check_interval: self.check_interval() },
             };
-            let started_at = Instant::now();
+            let started = CallStart { at: Instant::now(), numbering: self.list.state().position.numbering };
             let mut address_receiver = self.address_receiver.clone();
             // A change of the address cancels the call: the old address may have a different list.
             let result = tokio::select! {
@@ -169,8 +175,8 @@
                 Ok(()) = address_receiver.changed() => continue,
             };
             match result {
-                Ok(outcome) => self.on_success(outcome, started_at, &driver).await,
-                Err(error) => self.on_failure(&error, started_at, &driver).await,
+                Ok(outcome) => self.on_success(outcome, started, &driver).await,
+                Err(error) => self.on_failure(&error, started, &driver).await,
             }
         }
     }
@@ -222,7 +228,7 @@
         CHECK_INTERVAL.mul_f64(1.0 - CHECK_JITTER * self.rng.f64())
     }
 
-    async fn on_success(&mut self, outcome: CallOutcome, started_at: Instant, driver: &Rc<Driver>) {
+    async fn on_success(&mut self, outcome: CallOutcome, started: CallStart, driver: &Rc<Driver>) {
         let was_watching = self.state == WatchState::Watching;
         self.state = WatchState::Watching;
         self.has_repeated_immediately = false;
@@ -232,7 +238,7 @@
             self.consecutive_failures = 0;
         }
         match outcome {
-            CallOutcome::List(list) => self.on_list(list, was_watching, started_at, driver).await,
+            CallOutcome::List(list) => self.on_list(list, was_watching, started, driver).await,
             // Reports to the balancer that the call did not fail, although nothing has changed.
             CallOutcome::WatchExpired => report(driver, WatchUpdate::Delta, None),
         }
@@ -242,36 +248,59 @@
         &mut self,
         list: EndpointList,
         was_watching: bool,
-        started_at: Instant,
+        started: CallStart,
         driver: &Rc<Driver>,
     ) {
-        let ended_at_once = started_at.elapsed() < MIN_WATCH_TIME;
-        let did_not_wait = was_watching && self.version == Some(list.version) && ended_at_once;
-        // A version below the known one means that discovery has restarted its version numbers. The
-        // changes do not apply to the list of this node then, and the next call requests the full list.
-        let versions_restarted = !list.is_complete && self.version.is_none_or(|known| list.version < known);
-        self.version = if versions_restarted { None } else { Some(list.version) };
-        self.shared_version.set(self.version);
-        if !versions_restarted {
-            list.log(started_at.elapsed());
-            report(driver, list.update_kind(), Some(list));
+        let elapsed = started.at.elapsed();
+        let did_not_wait = was_watching && self.version == Some(list.version) && elapsed < MIN_WATCH_TIME;
+        let needs_full_list = self.needs_full_list(&list, started.numbering);
+        let is_superseded = self.is_superseded(&list);
+        self.version = if needs_full_list { None } else { Some(list.version) };
+        if !needs_full_list {
+            list.log(elapsed);
+            if is_superseded {
+                report(driver, WatchUpdate::Delta, None);
+            } else {
+                let version = list.version;
+                report(driver, list.update_kind(), Some(list));
+                self.list.record_update(version, self.address);
+            }
             driver.mark_list_usable();
         }
-        if versions_restarted || did_not_wait {
+        if needs_full_list || did_not_wait {
             // Prevents a busy loop of calls if discovery does not wait for updates.
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 
+    /// Returns `true` if the list has changes that do not apply to the list of this process: discovery has
+    /// restarted its version numbers, so that the version is below the known one; or this process has adopted a
+    /// list with restarted numbers since the call began.
+    fn needs_full_list(&self, list: &EndpointList, numbering_at_call: u64) -> bool {
+        let has_lower_version = self.version.is_none_or(|known| list.version < known);
+        let has_other_numbering = self.list.state().position.numbering != numbering_at_call;
+        !list.is_complete && (has_lower_version || has_other_numbering)
+    }
+
+    /// Returns `true` if this process has adopted a newer list since discovery sent this one. The next call
+    /// requests the changes after this version, so the adopted changes come again.
+    fn is_superseded(&self, list: &EndpointList) -> bool {
+        let continues_numbering = self.version.is_some_and(|known| list.version >= known);
+        continues_numbering && Some(list.version) < self.list.state().position.version
+    }
+
     /// Handles a failed call. The node may be expected to know soon the changes that the call missed, so
     /// the next call does not wait for an update.
-    async fn on_failure(&mut self, error: &DiscoveryError, started_at: Instant, driver: &Rc<Driver>) {
+    async fn on_failure(&mut self, error: &DiscoveryError, started: CallStart, driver: &Rc<Driver>) {
         self.client.disconnect();
         self.state = WatchState::CatchingUp;
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
-        if started_at.elapsed() < IMMEDIATE_FAILURE_TIME
+        // A list that is known to be outdated may name endpoints that must get no requests any more, so the
+        // process then uses all the time that it has for another call.
+        if started.at.elapsed() < IMMEDIATE_FAILURE_TIME
             && !error.is_timeout_or_invalid_response()
             && !error.is_local_failure()
+            && !self.list.is_outdated()
         {
             driver.mark_list_usable();
         }
--- a/src/node/driver/endpoint_table.rs
+++ b/src/node/driver/endpoint_table.rs
@@ -23,27 +23,32 @@
     pub address: Option<SocketAddr>,
 }
 
+impl DiscoveredEndpoint {
+    /// Creates the entry of an endpoint that is draining or removed. Only its id and its state have an
+    /// effect.
+    pub fn inactive(
+        endpoint: EndpointId,
+        state: EndpointState,
+        address: Option<SocketAddr>,
+    ) -> DiscoveredEndpoint {
+        let update = EndpointUpdate { endpoint, zone: 0, cell: 0, state, weight: 1.0, started_at_ms: 0.0 };
+        DiscoveredEndpoint { update, boot_ms: 0.0, address }
+    }
+}
+
 /// An endpoint that discovery reports as active.
 struct KnownEndpoint {
     address: SocketAddr,
-    /// `false` only while an update is applied: inactive endpoints are then removed.
-    is_active: bool,
-    location: Location,
     /// When the endpoint last started, as discovery stated it. Another value means that it has restarted.
     boot_ms: f64,
-    /// When the endpoint last started, in milliseconds on the balancer's clock.
-    started_at_ms: f64,
+    /// The last update for the balancer. Its state is another one than active only while an update is
+    /// applied: inactive endpoints are then removed.
+    update: EndpointUpdate,
 }
 
 impl KnownEndpoint {
-    fn new(address: SocketAddr, boot_ms: f64, update: &EndpointUpdate) -> KnownEndpoint {
-        KnownEndpoint {
-            address,
-            is_active: update.state == EndpointState::Active,
-            location: update.location(),
-            boot_ms,
-            started_at_ms: update.started_at_ms,
-        }
+    fn is_active(&self) -> bool {
+        self.update.state == EndpointState::Active
     }
 
     /// Returns when the endpoint restarted, in milliseconds on the balancer's clock. A restart comes
@@ -51,7 +56,7 @@
     /// endpoint counts as started now.
     fn restarted_at_ms(&self, boot_ms: f64, clock: &Clock) -> f64 {
         let at_ms = clock.wall_to_monotonic(boot_ms);
-        if at_ms > self.started_at_ms { at_ms } else { clock.now_ms() }
+        if at_ms > self.update.started_at_ms { at_ms } else { clock.now_ms() }
     }
 }
 
@@ -79,9 +84,26 @@
         self.active.keys().copied()
     }
 
+    /// Returns the endpoint list: the active and the draining endpoints, ordered by id. The draining ones
+    /// have no address.
+    pub fn endpoints(&self) -> Vec<DiscoveredEndpoint> {
+        let mut endpoints: Vec<_> = self.listed.iter().map(|id| self.listed_endpoint(*id)).collect();
+        endpoints.sort_unstable_by_key(|endpoint| endpoint.update.endpoint);
+        endpoints
+    }
+
+    fn listed_endpoint(&self, id: EndpointId) -> DiscoveredEndpoint {
+        match self.active.get(&id) {
+            Some(KnownEndpoint { address, boot_ms, update }) => {
+                DiscoveredEndpoint { update: *update, boot_ms: *boot_ms, address: Some(*address) }
+            }
+            None => DiscoveredEndpoint::inactive(id, EndpointState::Draining, None),
+        }
+    }
+
     /// Returns `true` if discovery reports the endpoint as active.
     pub fn is_active(&self, id: EndpointId) -> bool {
-        self.active.get(&id).is_some_and(|endpoint| endpoint.is_active)
+        self.active.get(&id).is_some_and(KnownEndpoint::is_active)
     }
 
     /// Returns `true` if discovery reports the endpoint as active or draining.
@@ -97,7 +119,7 @@
     /// Returns the zone and the cell of an endpoint, or the default if discovery does not report it as
     /// active.
     pub fn location(&self, id: EndpointId) -> Location {
-        self.active.get(&id).map_or_else(Location::default, |endpoint| endpoint.location)
+        self.active.get(&id).map_or_else(Location::default, |endpoint| endpoint.update.location())
     }
 
     /// Applies an update from discovery. Closes idle connections to endpoints that have restarted,
@@ -120,7 +142,7 @@
 
     /// Marks all endpoints as removed before a full list is applied, which adds those that it has.
     fn mark_all_removed(&mut self) {
-        self.active.values_mut().for_each(|endpoint| endpoint.is_active = false);
+        self.active.values_mut().for_each(|endpoint| endpoint.update.state = EndpointState::Removed);
         self.listed.clear();
     }
 
@@ -145,7 +167,7 @@
             if known_address.is_some_and(|known| known != address || start.has_restarted) {
                 upstream.close_idle(id);
             }
-            self.active.insert(id, KnownEndpoint::new(address, boot_ms, &update));
+            self.active.insert(id, KnownEndpoint { address, boot_ms, update });
         }
         update
     }
@@ -158,7 +180,7 @@
         let has_restarted = boot_ms > 0.0 && known.is_none_or(|known| known.boot_ms != boot_ms);
         let started_at_ms = match known {
             Some(known) if has_restarted => known.restarted_at_ms(boot_ms, clock),
-            Some(known) => known.started_at_ms,
+            Some(known) => known.update.started_at_ms,
             None if has_restarted => clock.wall_to_monotonic(boot_ms),
             None => 0.0,
         };
@@ -167,10 +189,10 @@
 
     fn remove_inactive(&mut self, upstream: &Upstream) {
         self.active.retain(|id, endpoint| {
-            if !endpoint.is_active {
+            if !endpoint.is_active() {
                 upstream.close_idle(*id);
             }
-            endpoint.is_active
+            endpoint.is_active()
         });
     }
 }
--- a/src/node/driver/mod.rs
+++ b/src/node/driver/mod.rs
@@ -154,6 +154,11 @@
         !self.list_is_usable.replace(true)
     }
 
+    /// Returns the endpoint list that this process has: the active and the draining endpoints, ordered by id.
+    pub fn endpoint_list(&self) -> Vec<DiscoveredEndpoint> {
+        self.state.borrow().endpoints.endpoints()
+    }
+
     /// Returns the endpoint with this name, or `None` if it is neither in the endpoint list nor disabled
     /// by an earlier command.
     pub fn find_endpoint(&self, name: &str) -> Option<EndpointId> {
--- a/src/node/snapshot/state_file.rs
+++ b/src/node/snapshot/state_file.rs
@@ -7,6 +7,7 @@
 use super::process_id::ProcessId;
 use std::fs::File;
 use std::io::{self, ErrorKind, Write};
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
@@ -15,8 +16,9 @@
 const MAGIC: &str = "node-state";
 /// The version of the file format, the second word of the first line.
 const VERSION: &str = "2";
-/// The largest file that is read, in bytes. This program writes no larger one.
-const MAX_BYTES: u64 = 1024 * 1024;
+/// The largest file that is read, in bytes: the size of the largest response of discovery. An entry of a file
+/// is shorter than an entry of such a response.
+pub(super) const MAX_BYTES: u64 = 8 * 1024 * 1024;
 /// Suffix of the last good copy, `NAME.last`.
 const LAST_GOOD_SUFFIX: &str = "last";
 /// Suffix of a draft, `NAME.PID-STARTED.draft`.
@@ -49,6 +51,15 @@
     Synced,
 }
 
+/// Identifies one content of a file: each write gives the file another stamp.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FileStamp {
+    inode: u64,
+    modified_seconds: i64,
+    modified_nanoseconds: i64,
+    bytes: u64,
+}
+
 /// A state file in a folder that all processes of the node share, together with its last good copy and its
 /// drafts.
 pub struct StateFile {
@@ -96,6 +107,17 @@
         }
     }
 
+    /// Returns the stamp of the file, or `None` if the file is missing or cannot be accessed.
+    pub fn stamp(&self) -> Option<FileStamp> {
+        let metadata = std::fs::metadata(self.path()).ok()?;
+        Some(FileStamp {
+            inode: metadata.ino(),
+            modified_seconds: metadata.mtime(),
+            modified_nanoseconds: metadata.mtime_nsec(),
+            bytes: metadata.len(),
+        })
+    }
+
     /// Reads a file of format version 1, which was plain JSON without a first line and a checksum. Returns
     /// `None` if the file cannot be read or does not begin with `{`.
     pub fn read_version_1(&self) -> Option<String> {
--- a/src/node/snapshot/store.rs
+++ b/src/node/snapshot/store.rs
@@ -1,15 +1,18 @@
-//! Defines the two files that one process leaves to the next, and reads and writes them.
+//! Reads and writes the three files that one process leaves to the next, and defines two of them.
 //!
 //! `node-calls.json` contains the operators' overrides: the endpoints that are out of service. An override
 //! must hold from the moment that its command is answered, so it is synced to disk before the answer.
 //! `node-state.json` contains the identity of the serving process and what that process has learned about
 //! endpoints. It is written periodically, and a new process can start without it.
 //!
+//! `node-list.json` contains the endpoint list; [`list_record`](super::list_record) defines it.
+//!
 //! The names of the JSON keys must not change, since processes of different versions read each other's
 //! files.
 
+use super::list_record::{LIST_FORMAT, ListRecord};
 use super::process_id::ProcessId;
-use super::state_file::{Durability, ReadError, StateFile};
+use super::state_file::{Durability, FileStamp, ReadError, StateFile};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::io;
@@ -19,6 +22,7 @@
 
 const OVERRIDES_FILE: &str = "node-calls.json";
 const PROCESS_FILE: &str = "node-state.json";
+const LIST_FILE: &str = "node-list.json";
 
 /// Why a file cannot be used.
 #[derive(Debug, Error)]
@@ -39,6 +43,14 @@
         /// The parse error.
         cause: serde_json::Error,
     },
+    /// The file is intact, but a later version of this program wrote it in a format that this one cannot read.
+    #[error("{file}: format {found} is later than {LIST_FORMAT}")]
+    Format {
+        /// The file name, without its folder.
+        file: &'static str,
+        /// The number of the format in the file.
+        found: u32,
+    },
 }
 
 /// The endpoints that operators have taken out of service.
@@ -162,10 +174,11 @@
     }
 }
 
-/// The two files, in the folder that all processes of the node share.
+/// The files, in the folder that all processes of the node share.
 pub struct SnapshotStore {
     overrides_file: StateFile,
     process_file: StateFile,
+    list_file: StateFile,
 }
 
 impl SnapshotStore {
@@ -175,6 +188,7 @@
         SnapshotStore {
             overrides_file: StateFile::new(folder, OVERRIDES_FILE, owner),
             process_file: StateFile::new(folder, PROCESS_FILE, owner),
+            list_file: StateFile::new(folder, LIST_FILE, owner),
         }
     }
 
@@ -194,6 +208,25 @@
         parse(PROCESS_FILE, self.process_file.read())
     }
 
+    /// Reads the endpoint list. Returns `None` if none was ever written.
+    ///
+    /// # Errors
+    /// The file cannot be read, is damaged, does not contain a list, or has a later format.
+    pub fn read_list(&self) -> Result<Option<ListRecord>, SnapshotError> {
+        let record: Option<ListRecord> = parse(LIST_FILE, self.list_file.read())?;
+        match record {
+            Some(ListRecord { format, .. }) if format > LIST_FORMAT => {
+                Err(SnapshotError::Format { file: LIST_FILE, found: format })
+            }
+            record => Ok(record),
+        }
+    }
+
+    /// Returns the stamp of the file of the endpoint list, or `None` if there is no such file.
+    pub fn list_stamp(&self) -> Option<FileStamp> {
+        self.list_file.stamp()
+    }
+
     /// Reads a file of format version 1. Returns `None` if there is no such file.
     pub fn read_version_1(&self) -> Option<Version1Records> {
         self.process_file.read_version_1().and_then(|text| Version1File::parse(&text))
@@ -215,10 +248,19 @@
         self.process_file.write(&to_json(record), Durability::Visible)
     }
 
-    /// Removes drafts of both files that processes left behind when they ended in the middle of a write.
+    /// Writes the endpoint list, without syncing it.
+    ///
+    /// # Errors
+    /// The operating system cannot write or rename the file.
+    pub fn write_list(&self, record: &ListRecord) -> io::Result<()> {
+        self.list_file.write(&to_json(record), Durability::Visible)
+    }
+
+    /// Removes drafts of the files that processes left behind when they ended in the middle of a write.
     pub fn remove_stale_drafts(&self) {
         self.overrides_file.remove_stale_drafts();
         self.process_file.remove_stale_drafts();
+        self.list_file.remove_stale_drafts();
     }
 }
 
--- a/src/node/snapshot/takeover.rs
+++ b/src/node/snapshot/takeover.rs
@@ -9,6 +9,7 @@
 use super::process_id::ProcessId;
 use super::state_file::Durability;
 use super::store::{EndpointRecord, OperatorOverrides, ProcessRecord, SnapshotStore, Version1Records};
+use crate::discovery::ListTracker;
 use crate::driver::{Driver, DriverEvent};
 use crate::observability::log;
 use crate::system::retry::retry;
@@ -22,9 +23,9 @@
 use tokio::time::MissedTickBehavior;
 use wheelpath::policy::EndpointId;
 
-/// Time between two comparisons of this process's overrides with those in the file. Each comparison also
-/// checks which process the process record names.
-const SYNC_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two comparisons of this process's overrides or its endpoint list with those in the files. The
+/// comparison of the overrides also checks which process the process record names.
+pub(super) const SYNC_INTERVAL: Duration = Duration::from_millis(200);
 /// The process record is written at one of this many comparisons, so once a second.
 const SYNCS_PER_PROCESS_RECORD: u32 = 5;
 /// For how long a failed override is retried. The command has to be answered within a second.
@@ -50,9 +51,8 @@
     own_process: ProcessId,
     /// The revision of the overrides that this process applies.
     override_revision: Cell<u64>,
-    /// The version of the endpoint list that this process has from discovery; shared with the discovery
-    /// watch, which sets it.
-    list_version: Rc<Cell<Option<u64>>>,
+    /// Tracks the endpoint list of this process.
+    list: Rc<ListTracker>,
     /// The process whose record this one found at startup.
     predecessor: Cell<Option<ProcessId>>,
     /// Another process of the node that serves at the same time as this one.
@@ -64,7 +64,7 @@
 impl Takeover {
     /// Uses the folder for temporary files, which all processes of the node share. Reads and writes nothing
     /// yet.
-    pub fn new(list_version: Rc<Cell<Option<u64>>>) -> Rc<Takeover> {
+    pub fn new(list: Rc<ListTracker>) -> Rc<Takeover> {
         let folder = std::env::temp_dir();
         let own_process = ProcessId::current();
         Rc::new(Takeover {
@@ -72,7 +72,7 @@
             folder,
             own_process,
             override_revision: Cell::new(0),
-            list_version,
+            list,
             predecessor: Cell::new(None),
             concurrent_process: Cell::new(None),
             has_written_record: Cell::new(false),
@@ -80,9 +80,9 @@
     }
 
     /// Restores the state that the previous process left, and writes a process record that names this
-    /// process as the serving one. Returns `true` if the previous process had a newer endpoint list than
-    /// this one has been started with.
-    pub fn take_over(&self, driver: &Rc<Driver>) -> bool {
+    /// process as the serving one. Also tells the tracker of the endpoint list which version the previous
+    /// process had.
+    pub fn take_over(&self, driver: &Rc<Driver>) {
         let (overrides, process) = match self.store.read_version_1() {
             Some(Version1Records { overrides, process }) => (Ok(Some(overrides)), Ok(Some(process))),
             None => (self.store.read_overrides(), self.store.read_process()),
@@ -96,22 +96,17 @@
                 ));
             }
         }
-        let is_list_outdated = match process {
+        match process {
             Ok(Some(record)) => self.restore_process_record(&record, driver),
-            Ok(None) => {
-                log::line("handover: no state of an earlier process found, starting without it");
-                false
-            }
+            Ok(None) => log::line("handover: no state of an earlier process found, starting without it"),
             Err(error) => {
                 log::line(&format!(
                     "handover: the earlier process's state cannot be used, starting without it: {error}"
                 ));
-                false
             }
-        };
+        }
         self.store.remove_stale_drafts();
         self.write_process_record(driver);
-        is_list_outdated
     }
 
     fn restore_overrides(&self, overrides: &OperatorOverrides, driver: &Rc<Driver>) {
@@ -121,12 +116,13 @@
         disabled.into_iter().for_each(|id| driver.handle(DriverEvent::Disable(id)));
     }
 
-    /// Restores the learned state in the record. Returns `true` if the process that wrote the record had a
-    /// newer endpoint list than this one has been started with.
-    fn restore_process_record(&self, record: &ProcessRecord, driver: &Rc<Driver>) -> bool {
-        let is_list_outdated = record.list_version > self.list_version.get();
-        let newer_list =
-            if is_list_outdated { ", its endpoint list is newer than the configured one" } else { "" };
+    fn restore_process_record(&self, record: &ProcessRecord, driver: &Rc<Driver>) {
+        self.list.set_predecessor_version(record.list_version);
+        let newer_list = if self.list.is_outdated() {
+            ", its endpoint list is newer than the configured one"
+        } else {
+            ""
+        };
         let (pid, endpoints) = (record.process.pid, record.endpoints.len());
         log::line(&format!("handover: took over from process {pid}: {endpoints} servers{newer_list}"));
         let now_ms = driver.clock.now_ms();
@@ -134,7 +130,6 @@
         driver.handle(DriverEvent::SnapshotRestored(snapshot));
         self.predecessor.set(Some(record.process));
         self.observe_process(record.process, driver);
-        is_list_outdated
     }
 
     fn write_process_record(&self, driver: &Driver) {
@@ -142,7 +137,7 @@
         let snapshot = driver.snapshot();
         let record = ProcessRecord {
             process: self.own_process,
-            list_version: self.list_version.get(),
+            list_version: self.list.state().position.version,
             endpoints: snapshot.iter().map(|endpoint| EndpointRecord::new(endpoint, now_ms)).collect(),
         };
         match self.store.write_process(&record) {
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -6,14 +6,14 @@
 
 use crate::admin::{self, AdminServer};
 use crate::config::{Config, ConfigError};
-use crate::discovery::{DiscoveryWatch, EndpointList, WatchSetup};
+use crate::discovery::{DiscoveryWatch, EndpointList, InitialList, ListTracker, WatchSetup};
 use crate::driver::{Driver, DriverEvent};
 use crate::frontend::{Frontend, RequestReader};
 use crate::observability::invariants::InvariantGuard;
 use crate::observability::log;
 use crate::peers::{PeerAddresses, PeerSocket};
 use crate::reload;
-use crate::snapshot::{SharedTraceIds, Takeover};
+use crate::snapshot::{SharedListFile, SharedTraceIds, Takeover};
 use crate::system::acceptor::Acceptor;
 use crate::system::clock::clamped_duration;
 use crate::system::descriptors::{self, Descriptors};
@@ -24,8 +24,6 @@
 use crate::system::syscall_errors::retry_transient;
 use crate::system::{listener, receive_timestamp};
 use crate::upstream::{ConnectionTimeouts, Upstream};
-use serde_json::Value;
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,7 +34,6 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::MissedTickBehavior;
 use wheelpath::policy::{Balancer, RequestClass, Settings, SettingsError, WatchUpdate};
-use wheelpath::settings_file::NameIndex;
 
 /// The memory limit of the process divided by this is the limit for the bodies of open requests.
 const BODY_MEMORY_DIVISOR: usize = 4;
@@ -226,10 +223,17 @@
         let (driver, watch_requests) =
             start_driver(&settings, config.seed, upstream.clone(), sockets.peers.clone())?;
         let names = Rc::new(config.names);
-        let list_version = apply_cached_list(&driver, &config.cached_endpoint_list, &names);
-        let list_version = Rc::new(Cell::new(list_version));
-        let takeover = is_listener_shared.then(|| Takeover::new(list_version.clone()));
-        let is_list_outdated = takeover.as_ref().is_some_and(|takeover| take_over(takeover, &driver));
+        let configured_list = EndpointList::parse(&config.cached_endpoint_list, &names);
+        let shared_list_file = is_listener_shared.then(|| SharedListFile::new(names.clone()));
+        let stored_list = shared_list_file.as_ref().and_then(SharedListFile::read);
+        let initial_list =
+            InitialList::choose(configured_list, stored_list, config.discovery, settings.discovery);
+        let (base_version, is_newer) = (initial_list.base_version, initial_list.is_newer_than_configured);
+        let list = apply_initial_list(initial_list, &driver);
+        let takeover = is_listener_shared.then(|| take_over(&list, &driver));
+        if let Some(file) = shared_list_file {
+            spawn_local(file.run(list.clone(), driver.clone()));
+        }
         let (discovery_address_sender, discovery_address) = watch::channel(config.discovery);
         let watch = DiscoveryWatch::new(WatchSetup {
             address: discovery_address,
@@ -237,8 +241,9 @@
             names: names.clone(),
             descriptors: descriptors.clone(),
             watch_requests,
-            version: list_version,
-            is_list_outdated,
+            base_version,
+            starts_at_once: is_newer || list.is_outdated(),
+            list,
             rng: fastrand::Rng::with_seed(!config.seed),
         });
         spawn_background_tasks(
@@ -351,25 +356,26 @@
     Upstream::new(descriptors, timeouts, max_buffer_bytes, memory)
 }
 
-/// Passes the cached endpoint list, which may be absent, to the driver. Returns the version of the list if
-/// deltas from that version on are enough to bring the list up to date. Returns `None` if the node has to
-/// request the full list, because the cached one is absent, not usable, partial or empty, or has invalid
-/// entries.
-fn apply_cached_list(driver: &Rc<Driver>, cached_list: &Value, names: &NameIndex) -> Option<u64> {
-    let list = EndpointList::parse(cached_list, names);
-    let version = list.as_ref().and_then(EndpointList::base_version);
-    let endpoints = list.map_or_else(Vec::new, |list| list.endpoints);
+/// Passes the endpoint list that the process starts with to the driver, and creates its tracker.
+fn apply_initial_list(initial_list: InitialList, driver: &Rc<Driver>) -> Rc<ListTracker> {
+    let InitialList { state, endpoints, is_newer_than_configured, .. } = initial_list;
+    if is_newer_than_configured {
+        let (position, count) = (state.position, endpoints.len());
+        log::line(&format!(
+            "handover: starting with the earlier process's list: {position}, {count} servers"
+        ));
+    }
     driver.handle(DriverEvent::EndpointsChanged { update: WatchUpdate::CachedSnapshot, endpoints });
-    version
+    Rc::new(ListTracker::new(state))
 }
 
 /// Takes over the state of the previous process, and starts the task that keeps this process in step with
-/// another one that runs in parallel. The task runs as long as the node. Returns whether the previous process
-/// had a newer endpoint list than the cached one.
-fn take_over(takeover: &Rc<Takeover>, driver: &Rc<Driver>) -> bool {
-    let is_list_outdated = takeover.take_over(driver);
+/// another one that runs in parallel. The task runs as long as the node.
+fn take_over(list: &Rc<ListTracker>, driver: &Rc<Driver>) -> Rc<Takeover> {
+    let takeover = Takeover::new(list.clone());
+    takeover.take_over(driver);
     spawn_local(takeover.clone().run(driver.clone()));
-    is_list_outdated
+    takeover
 }
 
 /// Passes the messages of other nodes to the driver.
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -55,6 +55,11 @@
     pub fn zone_index(&self, name: Option<&str>) -> u16 {
         name.and_then(|name| find_zone(&self.zones, name)).unwrap_or(u16::MAX)
     }
+
+    /// Returns the name of the zone with this index, or `None` if the settings' list has no such zone.
+    pub fn zone_name(&self, index: u16) -> Option<&str> {
+        self.zones.get(usize::from(index)).map(String::as_str)
+    }
 }
 
 fn index_of(names: &[String], name: &str) -> Option<usize> {
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -19,4 +19,5 @@
 pub use long_bodies::*;
 pub use node_process::*;
 pub use sockets::*;
+pub use state::create_state_dir;
 pub use waiting::*;
--- a/tests/node_durable_overrides.rs
+++ b/tests/node_durable_overrides.rs
@@ -6,16 +6,7 @@
 use node::*;
 use serde_json::Value;
 use std::net::TcpListener;
-use std::path::{Path, PathBuf};
-
-/// Creates an empty directory for the state files that one process leaves for the next.
-fn create_state_dir(name: &str) -> PathBuf {
-    let state_dir =
-        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("calls-{}-{name}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&state_dir);
-    std::fs::create_dir_all(&state_dir).unwrap();
-    state_dir
-}
+use std::path::PathBuf;
 
 /// Three endpoints, a discovery service that lists them, and the listening socket and the directory of state files that
 /// the processes of one node share.
--- a/tests/node_handover.rs
+++ b/tests/node_handover.rs
@@ -5,18 +5,9 @@
 use node::*;
 use serde_json::Value;
 use std::net::TcpListener;
-use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
-/// Creates an empty directory for the state files that one process leaves for the next.
-fn create_state_dir(name: &str) -> PathBuf {
-    let state_dir = std::env::temp_dir().join(format!("wheelpath-node-test-{}-{name}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&state_dir);
-    std::fs::create_dir_all(&state_dir).unwrap();
-    state_dir
-}
-
 /// The JSON fields that identify a running process in `node-state.json`: its process id, and its start time in clock
 /// ticks since the machine booted.
 fn process_identity_fields(pid: u32) -> String {
