--- a/src/policy/endpoint_set.rs
+++ b/src/policy/endpoint_set.rs
@@ -72,11 +72,22 @@
     }
 
     /// Applies the state that the previous process had learned. `restored_at_ms` is when this process
-    /// received the snapshot: the served rate has decayed since then.
-    fn restore(&mut self, now_ms: f64, snapshot: &EndpointSnapshot, restored_at_ms: f64) {
+    /// received the snapshot: the served rate has decayed since then. If the endpoint has restarted since the
+    /// snapshot was taken, only the limit is applied, because the rest describes its old process.
+    fn restore(
+        &mut self,
+        now_ms: f64,
+        snapshot: &EndpointSnapshot,
+        restored_at_ms: f64,
+        slow_start_ms: f64,
+    ) {
+        let has_restarted = self.slow_start.is_later_than(snapshot.started_at_ms, now_ms, slow_start_ms);
+        self.limit.restore(now_ms, snapshot.concurrency_limit);
+        if has_restarted {
+            return;
+        }
         self.slow_start.restore(snapshot.started_at_ms);
         self.failures.restore(snapshot.prat_ms);
-        self.limit.restore(now_ms, snapshot.concurrency_limit);
         let retained = (-(now_ms - restored_at_ms) / SERVED_TIME_CONSTANT_MS).exp();
         self.served_per_second = snapshot.served_per_second.max(0.0) * retained;
     }
@@ -294,7 +305,9 @@
         }
         for snapshot in std::mem::take(&mut self.restored.endpoints) {
             match self.find(snapshot.endpoint) {
-                Some(index) => self.endpoints[index].restore(now_ms, &snapshot, restored_at_ms),
+                Some(index) => {
+                    self.endpoints[index].restore(now_ms, &snapshot, restored_at_ms, self.slow_start_ms);
+                }
                 None => self.restored.endpoints.push(snapshot),
             }
         }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -28,6 +28,9 @@
 /// The safety margin with sparse traffic, as a multiple of the square root of the mean work. It stands for
 /// two standard deviations if all requests have the same work.
 const SAFETY_MARGIN_SPARSE_TRAFFIC: f64 = 2.0;
+/// The times at which two processes of a node see the same start of an endpoint differ by less than this, in
+/// milliseconds. Each converts it from the wall clock.
+const START_TOLERANCE_MS: f64 = 100.0;
 /// Capacity of the token bucket, in requests.
 const BUCKET_CAPACITY: f64 = 1.0;
 
@@ -68,6 +71,16 @@
         }
     }
 
+    /// Returns whether this slow start is not over, and is a later one than that which the previous process
+    /// handed over. `restored_ms` is `None` if the slow start was over then. It is never before the true start,
+    /// because the age of a snapshot counts as zero.
+    pub fn is_later_than(&self, restored_ms: Option<f64>, now_ms: f64, slow_start_ms: f64) -> bool {
+        self.started_at_ms.is_some_and(|at_ms| {
+            let is_later = |restored_ms| at_ms > restored_ms + START_TOLERANCE_MS;
+            now_ms - at_ms < slow_start_ms && restored_ms.is_none_or(is_later)
+        })
+    }
+
     /// Returns the time since the endpoint started, in milliseconds; infinite if its start was never
     /// reported.
     pub fn age_ms(&self, now_ms: f64) -> f64 {
--- a/tests/policy/snapshot.rs
+++ b/tests/policy/snapshot.rs
@@ -2,7 +2,7 @@
 //! while both run during a handover.
 
 use crate::common::{TestNode, active_endpoint};
-use crate::support::idempotent_node;
+use crate::support::{idempotent_node, make_congested};
 use wheelpath::policy::{
     AttemptOutcome, EndpointId, EndpointSnapshot, EndpointState, EndpointUpdate, Event, Settings,
     WatchUpdate,
@@ -59,6 +59,36 @@
     assert!(sent(warm) > 0);
 }
 
+/// Guards against a restarted endpoint that gets nothing until the PRAT of its old process: a new process takes over the
+/// list with the restart, and failures that an earlier snapshot has of the old process.
+#[test]
+fn a_restarted_endpoint_does_not_take_over_the_failures_of_its_old_process() {
+    let mut old = idempotent_node(1);
+    make_congested(&mut old);
+    let snapshot = old.balancer.snapshot(old.now_ms);
+    assert!(snapshot[0].prat_ms.is_some());
+    let now_ms = old.now_ms;
+    let restarted = vec![EndpointUpdate { started_at_ms: now_ms - 1.0, ..active_endpoint(1) }];
+    // The new process has the restart in its first list, or hears of it after it has restored the snapshot.
+    for cached_list in [restarted.clone(), Vec::new()] {
+        let mut new = TestNode::new(old.settings.clone(), 2);
+        new.now_ms = now_ms;
+        new.apply_list(WatchUpdate::CachedSnapshot, cached_list);
+        new.feed(Event::SnapshotRestored(snapshot.clone()));
+        new.apply_list(WatchUpdate::Snapshot, restarted.clone());
+        let state = new.balancer.snapshot(new.now_ms)[0];
+        assert_eq!((state.prat_ms, state.started_at_ms), (None, Some(now_ms - 1.0)));
+    }
+    // A snapshot of the slow start that the list has is taken over: its age is unknown and counts as zero.
+    let mut same_start = snapshot;
+    same_start[0].started_at_ms = Some(now_ms);
+    let mut new = TestNode::new(old.settings.clone(), 2);
+    new.now_ms = now_ms;
+    new.apply_list(WatchUpdate::CachedSnapshot, restarted);
+    new.feed(Event::SnapshotRestored(same_start.clone()));
+    assert_eq!(new.balancer.snapshot(new.now_ms)[0].prat_ms, same_start[0].prat_ms);
+}
+
 /// Guards against a damaged snapshot after which an endpoint gets no requests.
 #[test]
 fn unknown_endpoints_and_invalid_numbers_in_a_snapshot_do_no_harm() {
