--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -36,6 +36,9 @@
     pub listen: SocketAddr,
     /// The address of the discovery service.
     pub discovery: SocketAddr,
+    /// The address of the discovery service in the file, whether or not the environment overrides it; `None` if
+    /// the file has no valid one.
+    pub discovery_in_file: Option<SocketAddr>,
     /// Seed of the balancer's random numbers.
     pub seed: u64,
     /// The maximum number of file descriptors for all processes of this node.
@@ -226,6 +229,7 @@
             name: source.string("name", Some(NAME_VARIABLE))?.unwrap_or_default(),
             listen: listen.ok_or(ConfigError::Missing("listen"))?,
             discovery: discovery.ok_or(ConfigError::Missing("discovery"))?,
+            discovery_in_file: source.address("discovery", None).ok().flatten(),
             seed: source.seed()?,
             max_descriptors: source.limit("sockets", DEFAULT_MAX_DESCRIPTORS)?,
             memory_bytes: source.limit("memory_mb", DEFAULT_MEMORY_MIB)?.saturating_mul(BYTES_PER_MIB),
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -10,6 +10,7 @@
 mod driver;
 mod frontend;
 mod headers;
+mod membership;
 mod observability;
 mod peers;
 mod reload;
--- a/src/node/snapshot/store.rs
+++ b/src/node/snapshot/store.rs
@@ -1,11 +1,12 @@
-//! Reads and writes the three files that one process leaves to the next, and defines two of them.
+//! Reads and writes the files that one process leaves to the next, and defines all but one of them.
 //!
 //! `node-calls.json` contains the operators' overrides: the endpoints that are out of service. An override
 //! must hold from the moment that its command is answered, so it is synced to disk before the answer.
 //! `node-state.json` contains the identity of the serving process and what that process has learned about
 //! endpoints. It is written periodically, and a new process can start without it.
 //!
-//! `node-list.json` contains the endpoint list; [`list_record`](super::list_record) defines it.
+//! `node-discovery.json` contains the address of discovery that the last SIGHUP told. `node-list.json` contains
+//! the endpoint list; [`list_record`](super::list_record) defines it.
 //!
 //! The names of the JSON keys must not change, since processes of different versions read each other's
 //! files.
@@ -16,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use thiserror::Error;
 use wheelpath::policy::{EndpointId, EndpointSnapshot};
@@ -23,6 +25,7 @@
 const OVERRIDES_FILE: &str = "node-calls.json";
 const PROCESS_FILE: &str = "node-state.json";
 const LIST_FILE: &str = "node-list.json";
+const ADDRESS_FILE: &str = "node-discovery.json";
 
 /// Why a file cannot be used.
 #[derive(Debug, Error)]
@@ -75,6 +78,15 @@
     }
 }
 
+/// The address of discovery that a SIGHUP told. Records are ordered by their numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AddressRecord {
+    /// Grows with each reload of any process of the node.
+    pub number: u64,
+    /// The address.
+    pub discovery: SocketAddr,
+}
+
 /// The identity of the serving process and what it has learned about endpoints.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ProcessRecord {
@@ -179,6 +191,7 @@
     overrides_file: StateFile,
     process_file: StateFile,
     list_file: StateFile,
+    address_file: StateFile,
 }
 
 impl SnapshotStore {
@@ -189,6 +202,7 @@
             overrides_file: StateFile::new(folder, OVERRIDES_FILE, owner),
             process_file: StateFile::new(folder, PROCESS_FILE, owner),
             list_file: StateFile::new(folder, LIST_FILE, owner),
+            address_file: StateFile::new(folder, ADDRESS_FILE, owner),
         }
     }
 
@@ -227,6 +241,19 @@
         self.list_file.stamp()
     }
 
+    /// Reads the address of discovery that the last SIGHUP told. Returns `None` if none was ever written.
+    ///
+    /// # Errors
+    /// The file cannot be read, is damaged, or does not contain an address.
+    pub fn read_address(&self) -> Result<Option<AddressRecord>, SnapshotError> {
+        parse(ADDRESS_FILE, self.address_file.read())
+    }
+
+    /// Returns the stamp of the file of that address, or `None` if there is no such file.
+    pub fn address_stamp(&self) -> Option<FileStamp> {
+        self.address_file.stamp()
+    }
+
     /// Reads a file of format version 1. Returns `None` if there is no such file.
     pub fn read_version_1(&self) -> Option<Version1Records> {
         self.process_file.read_version_1().and_then(|text| Version1File::parse(&text))
@@ -256,11 +283,20 @@
         self.list_file.write(&to_json(record), Durability::Visible)
     }
 
+    /// Writes the address of discovery that the last SIGHUP told, without syncing it.
+    ///
+    /// # Errors
+    /// The operating system cannot write or rename the file.
+    pub fn write_address(&self, record: &AddressRecord) -> io::Result<()> {
+        self.address_file.write(&to_json(record), Durability::Visible)
+    }
+
     /// Removes drafts of the files that processes left behind when they ended in the middle of a write.
     pub fn remove_stale_drafts(&self) {
         self.overrides_file.remove_stale_drafts();
         self.process_file.remove_stale_drafts();
         self.list_file.remove_stale_drafts();
+        self.address_file.remove_stale_drafts();
     }
 }
 
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -6,14 +6,13 @@
 
 use crate::admin::{self, AdminServer};
 use crate::config::{Config, ConfigError};
-use crate::discovery::{DiscoveryWatch, EndpointList, InitialList, ListTracker, WatchSetup};
 use crate::driver::{Driver, DriverEvent};
 use crate::frontend::{Frontend, RequestReader};
+use crate::membership::{self, MembershipSetup};
 use crate::observability::invariants::InvariantGuard;
 use crate::observability::log;
 use crate::peers::{PeerAddresses, PeerSocket};
-use crate::reload;
-use crate::snapshot::{SharedListFile, SharedTraceIds, Takeover};
+use crate::snapshot::{SharedTraceIds, Takeover};
 use crate::system::acceptor::Acceptor;
 use crate::system::clock::clamped_duration;
 use crate::system::descriptors::{self, Descriptors};
@@ -30,10 +29,10 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::MissedTickBehavior;
-use wheelpath::policy::{Balancer, RequestClass, Settings, SettingsError, WatchUpdate};
+use wheelpath::policy::{Balancer, RequestClass, Settings, SettingsError};
 
 /// The memory limit of the process divided by this is the limit for the bodies of open requests.
 const BODY_MEMORY_DIVISOR: usize = 4;
@@ -218,45 +217,25 @@
         hangup: SignalReceiver,
     ) -> Result<Node, StartupError> {
         let Resources { descriptors, max_buffer_bytes, body_memory_bytes, memory } = resources;
-        let settings = config.settings;
-        let upstream = open_upstream(&settings, descriptors.clone(), max_buffer_bytes, memory.clone());
+        let upstream =
+            open_upstream(&config.settings, descriptors.clone(), max_buffer_bytes, memory.clone());
         let (driver, watch_requests) =
-            start_driver(&settings, config.seed, upstream.clone(), sockets.peers.clone())?;
-        let names = Rc::new(config.names);
-        let configured_list = EndpointList::parse(&config.cached_endpoint_list, &names);
-        let shared_list_file = is_listener_shared.then(|| SharedListFile::new(names.clone()));
-        let stored_list = shared_list_file.as_ref().and_then(SharedListFile::read);
-        let initial_list =
-            InitialList::choose(configured_list, stored_list, config.discovery, settings.discovery);
-        let (base_version, is_newer) = (initial_list.base_version, initial_list.is_newer_than_configured);
-        let list = apply_initial_list(initial_list, &driver);
-        let takeover = is_listener_shared.then(|| take_over(&list, &driver));
-        if let Some(file) = shared_list_file {
-            spawn_local(file.run(list.clone(), driver.clone()));
-        }
-        let (discovery_address_sender, discovery_address) = watch::channel(config.discovery);
-        let watch = DiscoveryWatch::new(WatchSetup {
-            address: discovery_address,
-            mode: settings.discovery,
+            start_driver(&config.settings, config.seed, upstream.clone(), sockets.peers.clone())?;
+        let names = Rc::new(config.names.clone());
+        let setup = MembershipSetup {
+            driver: driver.clone(),
             names: names.clone(),
             descriptors: descriptors.clone(),
             watch_requests,
-            base_version,
-            starts_at_once: is_newer || list.is_outdated(),
-            list,
-            rng: fastrand::Rng::with_seed(!config.seed),
-        });
-        spawn_background_tasks(
-            &driver,
-            watch,
-            reload::run(hangup, discovery_address_sender),
-            upstream,
-            sockets.peers,
-        );
+            hangup,
+            is_state_shared: is_listener_shared,
+        };
+        let takeover = membership::start(&config, setup);
+        spawn_background_tasks(&driver, upstream, sockets.peers);
         let shared_trace_ids = if is_listener_shared { SharedTraceIds::open() } else { None };
-        let max_open_requests = settings.max_open_requests as usize;
-        let reader =
-            RequestReader::new(names, settings.classes, body_memory_bytes, memory, shared_trace_ids);
+        let max_open_requests = config.settings.max_open_requests as usize;
+        let classes = config.settings.classes;
+        let reader = RequestReader::new(names, classes, body_memory_bytes, memory, shared_trace_ids);
         let frontend =
             Frontend::new(driver.clone(), reader, max_open_requests, max_buffer_bytes, descriptors.clone());
         if let Some(listener) = sockets.admin {
@@ -322,15 +301,7 @@
 }
 
 /// Starts tasks that run as long as the node and end with the process.
-fn spawn_background_tasks(
-    driver: &Rc<Driver>,
-    watch: DiscoveryWatch,
-    reload: impl Future<Output = ()> + 'static,
-    upstream: Rc<Upstream>,
-    peers: Option<Rc<PeerSocket>>,
-) {
-    spawn_local(watch.run(driver.clone()));
-    spawn_local(reload);
+fn spawn_background_tasks(driver: &Rc<Driver>, upstream: Rc<Upstream>, peers: Option<Rc<PeerSocket>>) {
     spawn_local(sweep(upstream, driver.clone()));
     if let Some(peers) = peers {
         spawn_local(listen_to_peers(peers, driver.clone()));
@@ -356,28 +327,6 @@
     Upstream::new(descriptors, timeouts, max_buffer_bytes, memory)
 }
 
-/// Passes the endpoint list that the process starts with to the driver, and creates its tracker.
-fn apply_initial_list(initial_list: InitialList, driver: &Rc<Driver>) -> Rc<ListTracker> {
-    let InitialList { state, endpoints, is_newer_than_configured, .. } = initial_list;
-    if is_newer_than_configured {
-        let (position, count) = (state.position, endpoints.len());
-        log::line(&format!(
-            "handover: starting with the earlier process's list: {position}, {count} servers"
-        ));
-    }
-    driver.handle(DriverEvent::EndpointsChanged { update: WatchUpdate::CachedSnapshot, endpoints });
-    Rc::new(ListTracker::new(state))
-}
-
-/// Takes over the state of the previous process, and starts the task that keeps this process in step with
-/// another one that runs in parallel. The task runs as long as the node.
-fn take_over(list: &Rc<ListTracker>, driver: &Rc<Driver>) -> Rc<Takeover> {
-    let takeover = Takeover::new(list.clone());
-    takeover.take_over(driver);
-    spawn_local(takeover.clone().run(driver.clone()));
-    takeover
-}
-
 /// Passes the messages of other nodes to the driver.
 async fn listen_to_peers(peers: Rc<PeerSocket>, driver: Rc<Driver>) {
     loop {
--- a/tests/node_list_handover.rs
+++ b/tests/node_list_handover.rs
@@ -52,12 +52,14 @@
         targets
     }
 
+    fn configure(&self, config: &mut Value) {
+        config["console"] = free_address().to_string().into();
+        config["settings"]["membershipMode"] = self.mode.into();
+        config["known"] = self.configured_list.clone();
+    }
+
     fn launch(&self, discovery: &DiscoveryStub, faults: Option<&SyscallFaults>) -> Node {
-        let configure = |c: &mut Value| {
-            c["console"] = free_address().to_string().into();
-            c["settings"]["membershipMode"] = self.mode.into();
-            c["known"] = self.configured_list.clone();
-        };
+        let configure = |c: &mut Value| self.configure(c);
         let set_up_command = |c: &mut std::process::Command| faults.into_iter().for_each(|f| f.preload(c));
         Node::launch_inheriting_with(
             discovery.address,
@@ -68,6 +70,18 @@
         )
     }
 
+    /// Starts a process whose configuration file has another address of discovery than its environment.
+    fn start_with_file(&self, in_file: &DiscoveryStub, in_environment: &DiscoveryStub) -> Node {
+        let configure = |c: &mut Value| {
+            self.configure(c);
+            c["discovery"] = in_file.address.to_string().into();
+        };
+        let node =
+            Node::launch_inheriting(in_environment.address, &self.socket, &self.state_dir, configure);
+        wait_for("the process is ready", || node.is_admin_ready());
+        node
+    }
+
     fn start(&self, discovery: &DiscoveryStub) -> Node {
         let node = self.launch(discovery, None);
         wait_for("the process is ready", || node.is_admin_ready());
@@ -296,3 +310,46 @@
     let new = fixture.start(&discovery);
     assert!(!fixture.gets_requests(&new, 0));
 }
+
+/// Guards against a process that goes on calling an address at which discovery no longer is: SIGHUP was sent to the other
+/// process of the node, which has ended since.
+#[test]
+fn a_reload_of_one_process_holds_for_the_other() {
+    for mode in ["on_request", "pushed"] {
+        let fixture = Fixture::new("reload", mode);
+        let (before, after) = (fixture.start_discovery(), fixture.start_discovery());
+        let mut old = fixture.start(&before);
+        let mut new = fixture.start(&before);
+        before.reject_calls(ALL_CALLS);
+        old.reload(after.address);
+        wait_for("both processes call the new address", || after.call_count() >= 2);
+        old.kill();
+        after.set(fixture.with_draining(0));
+        fixture.wait_until_unused(&new, 0);
+        new.terminate();
+        assert!(new.wait_for_exit().success());
+        let log = new.log();
+        assert!(log.contains("by a reload of another process"), "{mode}: {log}");
+    }
+}
+
+/// Guards against a successor that calls an old address: a reload takes the address from the file, while the environment
+/// of a process that is started later may still have the one before.
+#[test]
+fn a_successor_calls_the_address_of_the_last_reload_if_the_file_has_it() {
+    let fixture = Fixture::new("environment", "on_request");
+    let (first, second, third) =
+        (fixture.start_discovery(), fixture.start_discovery(), fixture.start_discovery());
+    let mut old = fixture.start(&first);
+    first.reject_calls(ALL_CALLS);
+    old.reload(second.address);
+    wait_for("the process calls the new address", || second.call_count() > 0);
+    old.kill();
+    let calls = second.call_count();
+    let mut new = fixture.start_with_file(&second, &first);
+    wait_for("the successor calls the address of the reload", || second.call_count() > calls);
+    new.kill();
+    // The configuration has been replaced since the reload.
+    let _newest = fixture.start_with_file(&third, &third);
+    wait_for("a process with a newer configuration calls its address", || third.call_count() > 0);
+}
