--- a/src/node/snapshot/takeover.rs
+++ b/src/node/snapshot/takeover.rs
@@ -57,8 +57,10 @@
     predecessor: Cell<Option<ProcessId>>,
     /// Another process of the node that serves at the same time as this one.
     concurrent_process: Cell<Option<ProcessId>>,
-    /// Whether this process has written a process record that names itself.
-    has_written_record: Cell<bool>,
+    /// Whether the last attempt to write the process record succeeded. Otherwise the next comparison writes it.
+    is_record_written: Cell<bool>,
+    /// Whether a failure to write the process record has been logged, and no attempt has succeeded since.
+    is_record_failing: Cell<bool>,
 }
 
 impl Takeover {
@@ -75,7 +77,8 @@
             list,
             predecessor: Cell::new(None),
             concurrent_process: Cell::new(None),
-            has_written_record: Cell::new(false),
+            is_record_written: Cell::new(false),
+            is_record_failing: Cell::new(false),
         })
     }
 
@@ -140,9 +143,14 @@
             list_version: self.list.state().position.version,
             endpoints: snapshot.iter().map(|endpoint| EndpointRecord::new(endpoint, now_ms)).collect(),
         };
-        match self.store.write_process(&record) {
-            Ok(()) => self.has_written_record.set(true),
-            Err(error) => log::line(&format!("handover: cannot write the process record: {error}")),
+        let written = self.store.write_process(&record);
+        self.is_record_written.set(written.is_ok());
+        match written {
+            Ok(()) => self.is_record_failing.set(false),
+            Err(error) if !self.is_record_failing.replace(true) => {
+                log::line(&format!("handover: cannot write the process record: {error}"));
+            }
+            Err(_) => {}
         }
     }
 
@@ -259,6 +267,8 @@
             overrides.revision,
             stored.len()
         ));
+        // As after a command to this process: an endpoint that was enabled is in slow start from now on.
+        self.write_process_record_if_serving(driver);
     }
 
     /// Compares the overrides of this process with those in the file; the higher revision replaces the
@@ -331,7 +341,7 @@
             ticks.tick().await;
             self.observe_process(self.serving_process().unwrap_or(self.own_process), &driver);
             self.sync_overrides(&driver);
-            if tick % SYNCS_PER_PROCESS_RECORD == 0 || !self.has_written_record.get() {
+            if tick % SYNCS_PER_PROCESS_RECORD == 0 || !self.is_record_written.get() {
                 self.write_process_record_if_serving(&driver);
             }
         }
--- a/src/policy/endpoint_set.rs
+++ b/src/policy/endpoint_set.rs
@@ -4,8 +4,7 @@
 //! they may disagree about it.
 //!
 //! An endpoint is in service if discovery lists it as active and no operator has disabled it. If a snapshot
-//! contains an endpoint that discovery has not listed yet, its snapshot entry is kept until discovery lists
-//! the endpoint, for at most the duration of a slow start.
+//! contains an endpoint that discovery has not listed yet, its entry is kept in a [`RestoredSnapshot`].
 
 use super::class_outlier::ClassFailures;
 use super::concurrency_limit::{ConcurrencyLimit, initial_limit};
@@ -15,6 +14,7 @@
 use super::failure_record::FailureRecord;
 use super::hash::mix;
 use super::operator_overrides::OperatorOverrides;
+use super::restored_snapshot::RestoredSnapshot;
 use super::selection::RendezvousEntry;
 use super::settings::Settings;
 use super::slow_start::{SlowStart, SlowStartBudget};
@@ -24,11 +24,6 @@
 /// so that a zone with more traffic than its own endpoints can carry still uses endpoints of other zones,
 /// and so that each key keeps to few endpoints.
 const OTHER_ZONE_WEIGHT_FACTOR: f64 = 0.5;
-/// Time constant of the exponential decay of [`Endpoint::served_per_second`], in milliseconds. It is one
-/// second, so that the decaying count is an estimate of the rate per second;
-/// [`EndpointSet::refill_and_decay`] applies the same decay.
-const SERVED_TIME_CONSTANT_MS: f64 = 1000.0;
-
 /// One endpoint, with everything that this node has learned about it.
 #[derive(Debug)]
 pub(super) struct Endpoint {
@@ -71,16 +66,9 @@
         self.failures.clear();
     }
 
-    /// Applies the state that the previous process had learned. `restored_at_ms` is when this process
-    /// received the snapshot: the served rate has decayed since then. If the endpoint has restarted since the
-    /// snapshot was taken, only the limit is applied, because the rest describes its old process.
-    fn restore(
-        &mut self,
-        now_ms: f64,
-        snapshot: &EndpointSnapshot,
-        restored_at_ms: f64,
-        slow_start_ms: f64,
-    ) {
+    /// Applies the state that the previous process had learned. If the endpoint has restarted since the snapshot
+    /// was taken, only the limit is applied, because the rest describes its old process.
+    fn restore(&mut self, now_ms: f64, snapshot: &EndpointSnapshot, slow_start_ms: f64) {
         let has_restarted = self.slow_start.is_later_than(snapshot.started_at_ms, now_ms, slow_start_ms);
         self.limit.restore(now_ms, snapshot.concurrency_limit);
         if has_restarted {
@@ -88,20 +76,10 @@
         }
         self.slow_start.restore(snapshot.started_at_ms);
         self.failures.restore(snapshot.prat_ms);
-        let retained = (-(now_ms - restored_at_ms) / SERVED_TIME_CONSTANT_MS).exp();
-        self.served_per_second = snapshot.served_per_second.max(0.0) * retained;
+        self.served_per_second = snapshot.served_per_second.max(0.0);
     }
 }
 
-/// The part of the previous process's snapshot that is not applied yet: its endpoints that discovery has
-/// not listed.
-#[derive(Debug, Default)]
-struct RestoredSnapshot {
-    endpoints: Vec<EndpointSnapshot>,
-    /// When this process received the snapshot, in milliseconds on the balancer's clock.
-    restored_at_ms: f64,
-}
-
 /// All endpoints that this node knows, and the placement table that selection uses.
 #[derive(Debug)]
 pub(super) struct EndpointSet {
@@ -274,8 +252,32 @@
         self.rebuild_placement(now_ms, budget);
     }
 
-    /// Returns the state that the next process of this node needs, for each endpoint.
+    /// Returns the state that the next process of this node needs: that of each endpoint, the start of those
+    /// that an operator has enabled before discovery lists them, and what the previous process had about
+    /// others that are not listed yet.
     pub fn snapshot(&self, now_ms: f64) -> Vec<EndpointSnapshot> {
+        let mut snapshot = self.listed_snapshot(now_ms);
+        snapshot.extend(self.enabled_unlisted_snapshot(now_ms));
+        let is_unknown = |entry: &EndpointSnapshot| {
+            self.find(entry.endpoint).is_none() && self.overrides.enabled_at_ms(entry.endpoint).is_none()
+        };
+        snapshot.extend(self.restored.pending(now_ms).filter(is_unknown));
+        snapshot
+    }
+
+    fn enabled_unlisted_snapshot(&self, now_ms: f64) -> impl Iterator<Item = EndpointSnapshot> {
+        let enabled = self.overrides.enabled().filter(|(id, _)| self.find(*id).is_none());
+        let enabled = enabled.filter(move |(_, at_ms)| now_ms - at_ms < self.slow_start_ms);
+        enabled.map(|(endpoint, enabled_at_ms)| EndpointSnapshot {
+            endpoint,
+            started_at_ms: Some(enabled_at_ms),
+            prat_ms: None,
+            concurrency_limit: self.initial_limit,
+            served_per_second: 0.0,
+        })
+    }
+
+    fn listed_snapshot(&self, now_ms: f64) -> Vec<EndpointSnapshot> {
         let is_in_slow_start = |started_at_ms: &f64| now_ms - started_at_ms < self.slow_start_ms;
         let snapshot_of = |endpoint: &Endpoint| EndpointSnapshot {
             endpoint: endpoint.id,
@@ -291,33 +293,27 @@
     /// older than the snapshot, so snapshot entries of endpoints that are not listed are kept for a later
     /// list.
     pub fn restore(&mut self, now_ms: f64, endpoints: Vec<EndpointSnapshot>, budget: &SlowStartBudget) {
-        self.restored = RestoredSnapshot { endpoints, restored_at_ms: now_ms };
+        self.restored = RestoredSnapshot::new(endpoints, now_ms);
         self.apply_restored(now_ms);
         self.rebuild_placement(now_ms, budget);
     }
 
     /// Applies the kept snapshot entries to the endpoints that have been listed since.
     fn apply_restored(&mut self, now_ms: f64) {
-        let restored_at_ms = self.restored.restored_at_ms;
-        if now_ms - restored_at_ms > self.slow_start_ms {
-            // By now every slow start in the snapshot is over, and this process learns the rest itself.
-            self.restored.endpoints.clear();
-        }
-        for snapshot in std::mem::take(&mut self.restored.endpoints) {
-            match self.find(snapshot.endpoint) {
-                Some(index) => {
-                    self.endpoints[index].restore(now_ms, &snapshot, restored_at_ms, self.slow_start_ms);
-                }
-                None => self.restored.endpoints.push(snapshot),
+        let mut restored = std::mem::take(&mut self.restored);
+        for entry in restored.take_listed(now_ms, self.slow_start_ms, |id| self.find(id).is_some()) {
+            if let Some(index) = self.find(entry.endpoint) {
+                self.endpoints[index].restore(now_ms, &entry, self.slow_start_ms);
             }
         }
+        self.restored = restored;
     }
 
     /// Halves the served rates of all endpoints at the start of a handover. The old and the new process then
     /// share this node's traffic; half is the initial estimate for each, and the decaying counts replace it
     /// with the observed rates within about a second.
     pub fn halve_served_rates(&mut self) {
-        self.restored.endpoints.iter_mut().for_each(|endpoint| endpoint.served_per_second /= 2.0);
+        self.restored.halve_served_rates();
         self.endpoints.iter_mut().for_each(|endpoint| endpoint.served_per_second /= 2.0);
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,7 +22,7 @@
 //! | how much traffic a restarted endpoint gets | `slow_start` |
 //! | whether and until when a request is retried, and the timeout of an attempt | `retry` |
 //! | when a rejected client should retry | `retry_after` |
-//! | which endpoints are in service | `endpoint_set`, with `operator_overrides` |
+//! | which endpoints are in service | `endpoint_set`, with `operator_overrides` and `restored_snapshot` |
 //! | when discovery is polled | `discovery_schedule` |
 //! | when idle connections are closed because endpoints accept no more | `connection_scarcity` |
 //!
@@ -52,6 +52,7 @@
 mod rejection_log;
 mod request;
 mod request_lifecycle;
+mod restored_snapshot;
 mod retry;
 mod retry_after;
 mod selection;
--- a/src/policy/operator_overrides.rs
+++ b/src/policy/operator_overrides.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Returns the endpoints that an operator has enabled, ordered by id, each with the time of the command in
+    /// milliseconds on the balancer's clock.
+    pub fn enabled(&self) -> impl Iterator<Item = (EndpointId, f64)> {
+        self.0.keys().filter_map(|id| self.enabled_at_ms(*id).map(|at_ms| (*id, at_ms)))
+    }
+
     /// Drops the overrides of endpoints that were enabled `slow_start_ms` ago or earlier.
     pub fn drop_expired(&mut self, now_ms: f64, slow_start_ms: f64) {
         self.0.retain(|_, operator_override| match operator_override {
--- a/tests/node_durable_overrides.rs
+++ b/tests/node_durable_overrides.rs
@@ -189,6 +189,28 @@
     assert!(!log.contains("alongside this one") && !log.contains("successor"), "{log}");
 }
 
+/// Guards against full traffic to an endpoint whose `enable-server` was answered by the other process: the slow start was in
+/// the memory of the process that serves for up to a second more.
+#[test]
+fn an_enabled_endpoint_starts_slowly_after_a_kill_of_the_process_that_adopted_the_command() {
+    let fixture = Fixture::new("adopted");
+    let mut old = fixture.start_process(None);
+    let mut new = fixture.start_process(None);
+    assert!(old.admin_command("disable-server s-1").starts_with("done"));
+    wait_for("the new process knows the command", || {
+        new.admin_command("disable-server s-1") == "done out of service already\n"
+    });
+    assert!(old.admin_command("enable-server s-1").starts_with("done in service again, cold"));
+    wait_for("the new process knows the command", || {
+        new.admin_command("enable-server s-1") == "done was not out of service\n"
+    });
+    new.kill();
+    old.kill();
+    let next = fixture.start_process(None);
+    let received = fixture.requests_per_endpoint(&next)[1];
+    assert!(received <= 10, "{received} of 60 requests went to an endpoint in slow start");
+}
+
 #[test]
 fn an_enabled_endpoint_starts_slowly_for_the_next_process_too() {
     let fixture = Fixture::new("cold");
--- a/tests/policy/snapshot.rs
+++ b/tests/policy/snapshot.rs
@@ -59,6 +59,34 @@
     assert!(sent(warm) > 0);
 }
 
+/// Guards against full traffic to an endpoint that an operator enabled while discovery listed it as draining: the endpoint
+/// was not in the snapshot then, so a new process took it for a warm one. A third process may follow before discovery
+/// lists the endpoint.
+#[test]
+fn an_endpoint_that_was_enabled_before_it_is_listed_is_in_slow_start_for_the_next_processes() {
+    let mut old = idempotent_node(2);
+    let endpoint = active_endpoint(1).endpoint;
+    old.feed(Event::Disable(endpoint));
+    old.apply_list(
+        WatchUpdate::Delta,
+        vec![EndpointUpdate { state: EndpointState::Draining, ..active_endpoint(1) }],
+    );
+    old.feed(Event::Enable(endpoint));
+    let enabled_at_ms = old.now_ms;
+    let succeed = |previous: &TestNode| {
+        let mut next = TestNode::new(previous.settings.clone(), 2);
+        next.now_ms = previous.now_ms + 50.0;
+        next.apply_list(WatchUpdate::CachedSnapshot, vec![active_endpoint(2)]);
+        next.feed(Event::SnapshotRestored(previous.balancer.snapshot(previous.now_ms)));
+        next
+    };
+    let mut third = succeed(&succeed(&old));
+    third.apply_list(WatchUpdate::Delta, vec![active_endpoint(1)]);
+    let snapshot = third.balancer.snapshot(third.now_ms);
+    let state = snapshot.iter().find(|state| state.endpoint == endpoint).expect("the endpoint is listed");
+    assert_eq!(state.started_at_ms, Some(enabled_at_ms));
+}
+
 /// Guards against a restarted endpoint that gets nothing until the PRAT of its old process: a new process takes over the
 /// list with the restart, and failures that an earlier snapshot has of the old process.
 #[test]
