--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -19,6 +19,7 @@
 mod record;
 mod response;
 mod run;
+mod scenarios;
 mod schedule;
 mod server;
 mod settings;
--- a/fault-soak/src/node.rs
+++ b/fault-soak/src/node.rs
@@ -18,7 +18,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -76,6 +76,8 @@
     /// time.
     lifecycle_lock: AsyncMutex<()>,
     start_count: AtomicU32,
+    /// The server list in the configuration of the first process.
+    first_list: OnceLock<Value>,
     logs: Mutex<Vec<PathBuf>>,
     deployment: Arc<Deployment>,
 }
@@ -107,6 +109,7 @@
             process: AsyncMutex::default(),
             lifecycle_lock: AsyncMutex::default(),
             start_count: AtomicU32::new(0),
+            first_list: OnceLock::new(),
             logs: Mutex::default(),
             deployment,
         })
@@ -125,8 +128,7 @@
             seed: self.deployment.seed ^ u64::from(start_number) << 32 ^ self.index as u64,
             max_descriptors: self.deployment.max_descriptors,
         };
-        let (server_list, settings) =
-            (self.deployment.discovery.current_list(), &self.deployment.settings[self.index]);
+        let (server_list, settings) = (self.configured_list(), &self.deployment.settings[self.index]);
         let config = config(&parameters, &self.addresses, &self.deployment.peers, &server_list, settings);
         let file = self.config_file();
         std::fs::write(&file, config.to_string()).unwrap();
@@ -153,6 +155,14 @@
         Process { child, admin, log }
     }
 
+    /// The server list in the configuration of a process that starts now. That of a persistent node is as old as
+    /// the node: its processes hand over the changes since.
+    fn configured_list(&self) -> Value {
+        let newest = self.deployment.discovery.current_list();
+        let first = self.first_list.get_or_init(|| newest.clone());
+        if self.persistent.is_some() { first.clone() } else { newest }
+    }
+
     fn config_file(&self) -> PathBuf {
         self.deployment.folder.join(format!("n{}.json", self.index))
     }
--- a/fault-soak/src/schedule.rs
+++ b/fault-soak/src/schedule.rs
@@ -3,6 +3,7 @@
 //! A failure that a random run finds is useful only if the run can be repeated. Therefore a seed determines
 //! its schedule, and a schedule can be printed as JSON lines and parsed again, to be replayed or shortened.
 
+use crate::scenarios;
 use fastrand::Rng;
 use serde::{Deserialize, Serialize};
 use std::fmt::{self, Display, Formatter};
@@ -153,28 +154,16 @@
 /// The time from the start of a run to its first group of faults, and the minimum time from the beginning of
 /// the last group to the end of the run. Until the first fault, the nodes receive the list of servers and
 /// observe how fast the servers respond.
-const QUIET_PERIOD_MS: u64 = 2000;
+pub const QUIET_PERIOD_MS: u64 = 2000;
 /// The faults of a group begin within this time of each other, so that they overlap.
 const GROUP_SPREAD_MS: u64 = 600;
 /// The range of the time from the beginning of one group of faults to that of the next.
 const GROUP_INTERVAL_MS: Range<u64> = 900..2600;
 
-/// The range of the time from the beginning of one [`Fault::SlowResponses`] to that of the next.
-const SLOW_RESPONSES_INTERVAL_MS: Range<u64> = 2000..5000;
-/// Distinguishes the random numbers of [`draw_slow_responses`] from those of [`draw`].
-const SLOW_RESPONSES_SEED: u64 = 0x510e_527f;
-
-/// One in this many runs has crowds of idle clients.
-const CROWD_ONE_IN: u64 = 3;
-/// The range of the time from one crowd to the next.
-const CROWD_INTERVAL_MS: Range<u64> = 1500..4000;
-/// Distinguishes the random numbers of [`draw_crowds`] from those of [`draw`].
-const CROWD_SEED: u64 = 0x9b05_688c;
-
 /// Draws the faults of a seed, in order of time.
 ///
 /// The order of the random draws is part of the meaning of a seed: a change to it gives every seed another
-/// schedule. [`draw_slow_responses`] and [`draw_crowds`] therefore have random numbers of their own.
+/// schedule. The scenarios of [`scenarios::draw`] therefore have random numbers of their own.
 pub fn draw(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
     let mut rng = Rng::with_seed(seed);
     let mut faults = Vec::new();
@@ -188,41 +177,11 @@
         }
         at += rng.u64(GROUP_INTERVAL_MS);
     }
-    faults.extend(draw_slow_responses(seed, size));
-    if seed.is_multiple_of(CROWD_ONE_IN) {
-        faults.extend(draw_crowds(seed, size));
-    }
+    faults.extend(scenarios::draw(seed, size));
     faults.sort_by_key(|fault| fault.at_ms);
     faults
 }
 
-fn draw_crowds(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
-    let mut rng = Rng::with_seed(seed ^ CROWD_SEED);
-    let mut faults = Vec::new();
-    let mut at_ms = rng.u64(CROWD_INTERVAL_MS);
-    while at_ms + QUIET_PERIOD_MS < size.duration_ms {
-        let fault = Fault::IdleConnections { node: rng.usize(..size.nodes), count: rng.usize(200..400) };
-        faults.push(ScheduledFault { at_ms, fault });
-        at_ms += rng.u64(CROWD_INTERVAL_MS);
-    }
-    faults
-}
-
-fn draw_slow_responses(seed: u64, size: RunSize) -> Vec<ScheduledFault> {
-    let mut rng = Rng::with_seed(seed ^ SLOW_RESPONSES_SEED);
-    let mut faults = Vec::new();
-    let mut at_ms = QUIET_PERIOD_MS;
-    while at_ms + QUIET_PERIOD_MS < size.duration_ms {
-        let server = rng.usize(..size.servers);
-        faults.push(ScheduledFault {
-            at_ms,
-            fault: Fault::SlowResponses { server, for_ms: rng.u64(500..2000) },
-        });
-        at_ms += rng.u64(SLOW_RESPONSES_INTERVAL_MS);
-    }
-    faults
-}
-
 fn draw_fault(rng: &mut Rng, size: RunSize) -> Fault {
     let node = rng.usize(..size.nodes);
     let persistent = rng.usize(size.first_persistent..size.nodes);
