--- a/src/node/discovery/watch.rs
+++ b/src/node/discovery/watch.rs
@@ -69,14 +69,6 @@
     Watching,
 }
 
-/// The beginning of a call to discovery.
-#[derive(Clone, Copy, Debug)]
-struct CallStart {
-    at: Instant,
-    /// The numbering of the list that this process had.
-    numbering: u64,
-}
-
 /// When a failed call is repeated.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Retry {
@@ -121,6 +113,8 @@
     list: Rc<ListTracker>,
     /// The next call requests the changes after this version, or the full list if it is `None`.
     version: Option<u64>,
+    /// The numbering that `version` belongs to.
+    numbering: u64,
     consecutive_failures: u32,
     /// Whether a call without a valid response was repeated at once since the last successful call.
     has_repeated_immediately: bool,
@@ -142,6 +136,7 @@
             address,
             watch_requests: setup.watch_requests,
             version: setup.base_version,
+            numbering: setup.list.state().position.numbering,
             list: setup.list,
             consecutive_failures: 0,
             has_repeated_immediately: false,
@@ -167,7 +162,7 @@
                 WatchState::CatchingUp => CallKind::CatchUp,
                 WatchState::Watching => CallKind::Watch { check_interval: self.check_interval() },
             };
-            let started = CallStart { at: Instant::now(), numbering: self.list.state().position.numbering };
+            let started_at = Instant::now();
             let mut address_receiver = self.address_receiver.clone();
             // A change of the address cancels the call: the old address may have a different list.
             let result = tokio::select! {
@@ -175,8 +170,8 @@
                 Ok(()) = address_receiver.changed() => continue,
             };
             match result {
-                Ok(outcome) => self.on_success(outcome, started, &driver).await,
-                Err(error) => self.on_failure(&error, started, &driver).await,
+                Ok(outcome) => self.on_success(outcome, started_at, &driver).await,
+                Err(error) => self.on_failure(&error, started_at, &driver).await,
             }
         }
     }
@@ -228,7 +223,7 @@
         CHECK_INTERVAL.mul_f64(1.0 - CHECK_JITTER * self.rng.f64())
     }
 
-    async fn on_success(&mut self, outcome: CallOutcome, started: CallStart, driver: &Rc<Driver>) {
+    async fn on_success(&mut self, outcome: CallOutcome, started_at: Instant, driver: &Rc<Driver>) {
         let was_watching = self.state == WatchState::Watching;
         self.state = WatchState::Watching;
         self.has_repeated_immediately = false;
@@ -238,7 +233,7 @@
             self.consecutive_failures = 0;
         }
         match outcome {
-            CallOutcome::List(list) => self.on_list(list, was_watching, started, driver).await,
+            CallOutcome::List(list) => self.on_list(list, was_watching, started_at, driver).await,
             // Reports to the balancer that the call did not fail, although nothing has changed.
             CallOutcome::WatchExpired => report(driver, WatchUpdate::Delta, None),
         }
@@ -248,12 +243,12 @@
         &mut self,
         list: EndpointList,
         was_watching: bool,
-        started: CallStart,
+        started_at: Instant,
         driver: &Rc<Driver>,
     ) {
-        let elapsed = started.at.elapsed();
+        let elapsed = started_at.elapsed();
         let did_not_wait = was_watching && self.version == Some(list.version) && elapsed < MIN_WATCH_TIME;
-        let needs_full_list = self.needs_full_list(&list, started.numbering);
+        let needs_full_list = self.needs_full_list(&list);
         let is_superseded = self.is_superseded(&list);
         self.version = if needs_full_list { None } else { Some(list.version) };
         if !needs_full_list {
@@ -265,6 +260,7 @@
                 report(driver, list.update_kind(), Some(list));
                 self.list.record_update(version, self.address);
             }
+            self.numbering = self.list.state().position.numbering;
             driver.mark_list_usable();
         }
         if needs_full_list || did_not_wait {
@@ -275,29 +271,35 @@
 
     /// Returns `true` if the list has changes that do not apply to the list of this process: discovery has
     /// restarted its version numbers, so that the version is below the known one; or this process has adopted a
-    /// list with restarted numbers since the call began.
-    fn needs_full_list(&self, list: &EndpointList, numbering_at_call: u64) -> bool {
+    /// list with restarted numbers since the last answer.
+    fn needs_full_list(&self, list: &EndpointList) -> bool {
         let has_lower_version = self.version.is_none_or(|known| list.version < known);
-        let has_other_numbering = self.list.state().position.numbering != numbering_at_call;
-        !list.is_complete && (has_lower_version || has_other_numbering)
+        !list.is_complete && (has_lower_version || !self.has_same_numbering())
+    }
+
+    /// Returns `true` if the version of the next call and the list of this process have the same numbering.
+    fn has_same_numbering(&self) -> bool {
+        self.list.state().position.numbering == self.numbering
     }
 
     /// Returns `true` if this process has adopted a newer list since discovery sent this one. The next call
     /// requests the changes after this version, so the adopted changes come again.
     fn is_superseded(&self, list: &EndpointList) -> bool {
         let continues_numbering = self.version.is_some_and(|known| list.version >= known);
-        continues_numbering && Some(list.version) < self.list.state().position.version
+        continues_numbering
+            && self.has_same_numbering()
+            && Some(list.version) < self.list.state().position.version
     }
 
     /// Handles a failed call. The node may be expected to know soon the changes that the call missed, so
     /// the next call does not wait for an update.
-    async fn on_failure(&mut self, error: &DiscoveryError, started: CallStart, driver: &Rc<Driver>) {
+    async fn on_failure(&mut self, error: &DiscoveryError, started_at: Instant, driver: &Rc<Driver>) {
         self.client.disconnect();
         self.state = WatchState::CatchingUp;
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
         // A list that is known to be outdated may name endpoints that must get no requests any more, so the
         // process then uses all the time that it has for another call.
-        if started.at.elapsed() < IMMEDIATE_FAILURE_TIME
+        if started_at.elapsed() < IMMEDIATE_FAILURE_TIME
             && !error.is_timeout_or_invalid_response()
             && !error.is_local_failure()
             && !self.list.is_outdated()
--- a/src/node/snapshot/shared_address.rs
+++ b/src/node/snapshot/shared_address.rs
@@ -79,7 +79,8 @@
                 log::line(&format!(
                     "handover: discovery is at {discovery}, by a reload of another process"
                 ));
-                discovery_address.send_replace(discovery);
+                discovery_address
+                    .send_if_modified(|address| std::mem::replace(address, discovery) != discovery);
             }
         }
     }
