--- a/src/node/snapshot/shared_list.rs
+++ b/src/node/snapshot/shared_list.rs
@@ -31,6 +31,8 @@
 /// of a node with thousands of endpoints then takes at most a tenth of the processor time, however often the
 /// list changes.
 const PAUSE_FACTOR: u32 = 9;
+/// Upper bound of that pause. A process that was suspended while it wrote must not miss news for long.
+const MAX_PAUSE: Duration = Duration::from_millis(100);
 /// The pause before the next attempt to write while another process holds the lock.
 const LOCK_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -98,7 +100,7 @@
             let began_at = Instant::now();
             changes.borrow_and_update();
             let outcome = self.sync(&list, &driver);
-            tokio::time::sleep(began_at.elapsed() * PAUSE_FACTOR).await;
+            tokio::time::sleep((began_at.elapsed() * PAUSE_FACTOR).min(MAX_PAUSE)).await;
             match outcome {
                 SyncOutcome::Retry => tokio::time::sleep(LOCK_RETRY_PAUSE).await,
                 SyncOutcome::Done => {
