--- a/fault-soak/src/fault_injection.rs
+++ b/fault-soak/src/fault_injection.rs
@@ -100,11 +100,7 @@
             Fault::RollingReplacement { for_ms } => {
                 self.replace_half_of_servers(milliseconds(for_ms)).await
             }
-            Fault::DrainServer { server, for_ms } => {
-                self.discovery.change_server(server, "draining", None, ServerChange::Withdrawn);
-                tokio::time::sleep(milliseconds(for_ms)).await;
-                self.discovery.change_server(server, "up", None, ServerChange::InService);
-            }
+            Fault::DrainServer { server, for_ms } => self.drain_server(server, milliseconds(for_ms)).await,
             Fault::ReplaceServer { server, for_ms } => {
                 self.replace_server(server, milliseconds(for_ms)).await
             }
@@ -129,14 +125,25 @@
             }
             Fault::ResetConnections { server } => self.servers[server].proxy.reset_all(),
             Fault::DropServerOutput { server, for_ms } => {
-                self.servers[server].proxy.set_mode(ProxyMode::DropServerOutput).await;
-                tokio::time::sleep(milliseconds(for_ms)).await;
-                self.servers[server].proxy.set_mode(ProxyMode::Forwarding).await;
+                self.drop_server_output(server, milliseconds(for_ms)).await
             }
             _ => {}
         }
     }
 
+    async fn drain_server(&self, server: usize, duration: Duration) {
+        self.discovery.change_server(server, "draining", None, ServerChange::Withdrawn);
+        tokio::time::sleep(duration).await;
+        self.discovery.change_server(server, "up", None, ServerChange::InService);
+    }
+
+    async fn drop_server_output(&self, server: usize, duration: Duration) {
+        let proxy = &self.servers[server].proxy;
+        proxy.set_mode(ProxyMode::DropServerOutput).await;
+        tokio::time::sleep(duration).await;
+        proxy.set_mode(ProxyMode::Forwarding).await;
+    }
+
     async fn inject_at_clients(&self, fault: Fault) {
         let clients = &self.clients;
         match fault {
--- a/src/node/frontend/request_reader.rs
+++ b/src/node/frontend/request_reader.rs
@@ -183,6 +183,21 @@
         Ok((index, class.ok_or(RequestRejection::malformed("X-Qos names no class\n"))?))
     }
 
+    /// Collects the body of a request. Rejects the request if its class allows no body and it has one.
+    async fn collect_body(
+        &self,
+        class: &RequestClass,
+        incoming: IncomingBody,
+        socket: &Socket,
+    ) -> Result<CollectedBody, RequestRejection> {
+        let collected = self.bodies.collect(incoming, socket).await?;
+        let is_empty = matches!(&collected.body, RequestBody::Buffered(bytes) if bytes.is_empty());
+        if class.idempotency == Idempotency::Idempotent && !is_empty {
+            return Err(RequestRejection::malformed("a request that is safe to repeat has no body\n"));
+        }
+        Ok(collected)
+    }
+
     /// Reads and checks a request. Returns the rejection if the request is not valid, if its body does not
     /// arrive, or if there is no memory for the body. `socket` is the client's.
     pub(super) async fn read(
@@ -201,11 +216,7 @@
         check_idempotency(class, &head, length)?;
         let timeout = client_timeout(class, &head)?;
         let incoming = IncomingBody { body, length, started_at: arrival.head_read_at };
-        let CollectedBody { body, memory } = self.bodies.collect(incoming, socket).await?;
-        let is_empty = matches!(&body, RequestBody::Buffered(bytes) if bytes.is_empty());
-        if class.idempotency == Idempotency::Idempotent && !is_empty {
-            return Err(RequestRejection::malformed("a request that is safe to repeat has no body\n"));
-        }
+        let CollectedBody { body, memory } = self.collect_body(class, incoming, socket).await?;
         // The timeout counts from the last byte of the request, or from its arrival in the accept queue. If
         // the client is still sending a streamed body, the deadline and the expiry are postponed accordingly.
         let arrived_at = arrival.queued_since.unwrap_or_else(Instant::now);
