--- a/tests/node_list_handover.rs
+++ b/tests/node_list_handover.rs
@@ -199,6 +199,28 @@
     assert!(!fixture.gets_requests(&new, 0));
 }
 
+/// Guards against changes that are applied to a list that they do not belong to: the watch of a process is from before a
+/// restart of the version numbers, which another process has noticed, and ends once the new numbers pass the old ones.
+#[test]
+fn changes_after_a_version_of_another_numbering_are_not_applied() {
+    let mut fixture = Fixture::new("numbering", "on_request");
+    fixture.configured_list = full_list(50, all_up(&fixture.addresses));
+    let discovery = fixture.start_discovery();
+    discovery.set_version_without_notifying(50, all_up(&fixture.addresses));
+    let first = fixture.start(&discovery);
+    wait_for("the first process watches", || {
+        discovery.call_lines().iter().any(|l| l.contains("wait_ms=60"))
+    });
+    discovery.set_version_without_notifying(2, fixture.with_draining(0));
+    let _second = fixture.start(&discovery);
+    wait_for("the first process has adopted the restarted list", || !fixture.gets_requests(&first, 0));
+    let full_list_calls = || discovery.call_lines().iter().filter(|line| !line.contains("after=")).count();
+    let calls = full_list_calls();
+    discovery.set_version_without_notifying(50, fixture.with_draining(0));
+    discovery.set_delta(vec![target("s-1", fixture.addresses[1], "draining")]);
+    wait_for("the first process asks for the full list", || full_list_calls() > calls);
+}
+
 /// Guards against undue trust in the list of an earlier process: the platform may have configured a newer one since.
 #[test]
 fn a_configured_list_that_is_newer_than_the_stored_one_is_used() {
