--- a/src/policy/endpoint_set.rs
+++ b/src/policy/endpoint_set.rs
@@ -66,8 +66,8 @@
         self.failures.clear();
     }
 
-    /// Applies the state that the previous process had learned. If the endpoint has restarted since the snapshot
-    /// was taken, only the limit is applied, because the rest describes its old process.
+    /// Applies the state that the previous process had learned. If the endpoint has restarted since the
+    /// snapshot was taken, only the limit is applied, because the rest describes its old process.
     fn restore(&mut self, now_ms: f64, snapshot: &EndpointSnapshot, slow_start_ms: f64) {
         let has_restarted = self.slow_start.is_later_than(snapshot.started_at_ms, now_ms, slow_start_ms);
         self.limit.restore(now_ms, snapshot.concurrency_limit);
--- a/src/policy/operator_overrides.rs
+++ b/src/policy/operator_overrides.rs
@@ -55,8 +55,8 @@
         }
     }
 
-    /// Returns the endpoints that an operator has enabled, ordered by id, each with the time of the command in
-    /// milliseconds on the balancer's clock.
+    /// Returns the endpoints that an operator has enabled, ordered by id, each with the time of the command
+    /// in milliseconds on the balancer's clock.
     pub fn enabled(&self) -> impl Iterator<Item = (EndpointId, f64)> {
         self.0.keys().filter_map(|id| self.enabled_at_ms(*id).map(|at_ms| (*id, at_ms)))
     }
--- a/src/policy/restored_snapshot.rs
+++ b/src/policy/restored_snapshot.rs
@@ -1,9 +1,9 @@
 //! Keeps what the previous process of the node had learned about endpoints that are not listed yet.
 //!
-//! The endpoint list that a process starts with may be older than the snapshot of the previous process, and an
-//! operator may have enabled an endpoint that is not on any list. The entries of such endpoints are kept until
-//! discovery lists them, for at most the duration of a slow start: by then every slow start in the snapshot is
-//! over, and the process learns the rest itself.
+//! The endpoint list that a process starts with may be older than the snapshot of the previous process, and
+//! an operator may have enabled an endpoint that is not on any list. The entries of such endpoints are kept
+//! until discovery lists them, for at most the duration of a slow start: by then every slow start in the
+//! snapshot is over, and the process learns the rest itself.
 
 use super::endpoint::{EndpointId, EndpointSnapshot};
 
@@ -25,8 +25,8 @@
         RestoredSnapshot { endpoints, restored_at_ms: now_ms }
     }
 
-    /// Removes and returns the entries of the endpoints for which `is_listed` returns `true`, with their served
-    /// rates at `now_ms`. Drops all entries if the duration of a slow start is over.
+    /// Removes and returns the entries of the endpoints for which `is_listed` returns `true`, with their
+    /// served rates at `now_ms`. Drops all entries if the duration of a slow start is over.
     pub fn take_listed(
         &mut self,
         now_ms: f64,
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -72,8 +72,8 @@
     }
 
     /// Returns whether this slow start is not over, and is a later one than that which the previous process
-    /// handed over. `restored_ms` is `None` if the slow start was over then. It is never before the true start,
-    /// because the age of a snapshot counts as zero.
+    /// handed over. `restored_ms` is `None` if the slow start was over then. It is never before the true
+    /// start, because the age of a snapshot counts as zero.
     pub fn is_later_than(&self, restored_ms: Option<f64>, now_ms: f64, slow_start_ms: f64) -> bool {
         self.started_at_ms.is_some_and(|at_ms| {
             let is_later = |restored_ms| at_ms > restored_ms + START_TOLERANCE_MS;
