--- a/src/node/discovery/list_tracker.rs
+++ b/src/node/discovery/list_tracker.rs
@@ -10,6 +10,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 use tokio::sync::watch;
+use wheelpath::policy::DiscoveryMode;
 
 /// The place of an endpoint list in the order of all lists that the processes of this node have had. A later
 /// list has a greater position.
@@ -49,6 +50,9 @@
 /// the node update it, each after it has passed the endpoints to the driver.
 pub struct ListTracker {
     state: watch::Sender<ListState>,
+    mode: DiscoveryMode,
+    /// The address of discovery if the last call there succeeded; `None` if it failed, or none has ended.
+    contact: Cell<Option<SocketAddr>>,
     /// The version that the previous process had according to its record; `None` if there is no record, or it
     /// has no version.
     predecessor_version: Cell<Option<u64>>,
@@ -56,8 +60,13 @@
 
 impl ListTracker {
     /// Creates the tracker of a process that starts with the list that `state` describes.
-    pub fn new(state: ListState) -> ListTracker {
-        ListTracker { state: watch::Sender::new(state), predecessor_version: Cell::new(None) }
+    pub fn new(state: ListState, mode: DiscoveryMode) -> ListTracker {
+        ListTracker {
+            state: watch::Sender::new(state),
+            mode,
+            contact: Cell::new(None),
+            predecessor_version: Cell::new(None),
+        }
     }
 
     /// Returns the state of the list that this process has.
@@ -82,6 +91,23 @@
         self.set(ListState { position, highest_version: highest_version.max(version), source });
     }
 
+    /// Records the result of a call to discovery: its address if the call succeeded.
+    pub fn set_contact(&self, contact: Option<SocketAddr>) {
+        self.contact.set(contact);
+    }
+
+    /// Returns `true` if this process may adopt a list that another one has from `source`. In push mode each
+    /// agent has its own version numbers, so the list of another agent is not comparable with one that this
+    /// process gets itself.
+    pub fn may_adopt_from(&self, source: SocketAddr) -> bool {
+        self.contact.get().is_none_or(|contact| self.shares_numbering(contact, source))
+    }
+
+    /// Returns `true` if the lists of these two addresses of discovery have the same version numbers.
+    pub fn shares_numbering(&self, first: SocketAddr, second: SocketAddr) -> bool {
+        self.mode == DiscoveryMode::Poll || first == second
+    }
+
     /// Records that this process has adopted a list of another process of the node.
     pub fn record_adoption(&self, adopted: ListState) {
         let highest_version = self.state().highest_version.max(adopted.highest_version);
--- a/src/node/discovery/watch.rs
+++ b/src/node/discovery/watch.rs
@@ -15,7 +15,7 @@
 
 use super::client::{CallKind, CallOutcome, DiscoveryClient, DiscoveryError};
 use super::endpoint_list::EndpointList;
-use super::list_tracker::ListTracker;
+use super::list_tracker::{ListState, ListTracker};
 use crate::driver::{Driver, DriverEvent};
 use crate::observability::log;
 use crate::system::descriptors::Descriptors;
@@ -201,6 +201,7 @@
         // nodes in time.
         self.version = self.version.filter(|_| self.mode == DiscoveryMode::Poll);
         self.address = address;
+        self.list.set_contact(None);
         self.client.disconnect();
         self.state = WatchState::CatchingUp;
         self.address_change_deadline = Instant::now() + ADDRESS_CHANGE_TIMEOUT;
@@ -224,6 +225,7 @@
     }
 
     async fn on_success(&mut self, outcome: CallOutcome, started_at: Instant, driver: &Rc<Driver>) {
+        self.list.set_contact(Some(self.address));
         let was_watching = self.state == WatchState::Watching;
         self.state = WatchState::Watching;
         self.has_repeated_immediately = false;
@@ -279,7 +281,8 @@
 
     /// Returns `true` if the version of the next call and the list of this process have the same numbering.
     fn has_same_numbering(&self) -> bool {
-        self.list.state().position.numbering == self.numbering
+        let ListState { position, source, .. } = self.list.state();
+        position.numbering == self.numbering && self.list.shares_numbering(source, self.address)
     }
 
     /// Returns `true` if this process has adopted a newer list since discovery sent this one. The next call
@@ -294,6 +297,7 @@
     /// Handles a failed call. The node may be expected to know soon the changes that the call missed, so
     /// the next call does not wait for an update.
     async fn on_failure(&mut self, error: &DiscoveryError, started_at: Instant, driver: &Rc<Driver>) {
+        self.list.set_contact(None);
         self.client.disconnect();
         self.state = WatchState::CatchingUp;
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use wheelpath::policy::WatchUpdate;
+use wheelpath::policy::{DiscoveryMode, WatchUpdate};
 use wheelpath::settings_file::NameIndex;
 
 /// The parts of the node that the endpoint list depends on.
@@ -47,7 +47,7 @@
     let mode = config.settings.discovery;
     let initial_list = InitialList::choose(configured_list, stored_list, discovery, mode);
     let (base_version, is_newer) = (initial_list.base_version, initial_list.is_newer_than_configured);
-    let list = apply_initial_list(initial_list, &driver);
+    let list = apply_initial_list(initial_list, mode, &driver);
     let takeover = is_state_shared.then(|| take_over(&list, &driver));
     if let Some(shared_list) = shared_list {
         spawn_local(shared_list.run(list.clone(), driver.clone()));
@@ -69,7 +69,11 @@
 }
 
 /// Passes the endpoint list that the process starts with to the driver, and creates its tracker.
-fn apply_initial_list(initial_list: InitialList, driver: &Rc<Driver>) -> Rc<ListTracker> {
+fn apply_initial_list(
+    initial_list: InitialList,
+    mode: DiscoveryMode,
+    driver: &Rc<Driver>,
+) -> Rc<ListTracker> {
     let InitialList { state, endpoints, is_newer_than_configured, .. } = initial_list;
     if is_newer_than_configured {
         let (position, count) = (state.position, endpoints.len());
@@ -78,7 +82,7 @@
         ));
     }
     driver.handle(DriverEvent::EndpointsChanged { update: WatchUpdate::CachedSnapshot, endpoints });
-    Rc::new(ListTracker::new(state))
+    Rc::new(ListTracker::new(state, mode))
 }
 
 /// Takes over the state of the previous process, and starts the task that keeps this process in step with
--- a/src/node/snapshot/list_record.rs
+++ b/src/node/snapshot/list_record.rs
@@ -78,6 +78,11 @@
         ListPosition { numbering: self.numbering, version: Some(self.version) }
     }
 
+    /// Returns the address of discovery that the list is from.
+    pub fn source(&self) -> SocketAddr {
+        self.discovery
+    }
+
     /// Converts the record back to a list. `names` resolves the names of zones, and need not be the index with
     /// which the record was created.
     pub fn to_list(&self, names: &NameIndex) -> SharedList {
--- a/src/node/snapshot/shared_list.rs
+++ b/src/node/snapshot/shared_list.rs
@@ -144,7 +144,7 @@
         let record = self.store.read_list().ok().flatten()?;
         let position = record.position();
         self.known_content.set(stamp.map(|stamp| KnownContent { stamp, position }));
-        if position > own {
+        if position > own && list.may_adopt_from(record.source()) {
             self.adopt(&record, list, driver);
         }
         Some(position)
--- a/src/policy/endpoint_set.rs
+++ b/src/policy/endpoint_set.rs
@@ -24,6 +24,7 @@
 /// so that a zone with more traffic than its own endpoints can carry still uses endpoints of other zones,
 /// and so that each key keeps to few endpoints.
 const OTHER_ZONE_WEIGHT_FACTOR: f64 = 0.5;
+
 /// One endpoint, with everything that this node has learned about it.
 #[derive(Debug)]
 pub(super) struct Endpoint {
--- a/tests/node_list_handover.rs
+++ b/tests/node_list_handover.rs
@@ -221,6 +221,25 @@
     wait_for("the first process asks for the full list", || full_list_calls() > calls);
 }
 
+/// Guards against a process that follows the list of another agent in place of its own: in push mode each agent has its
+/// own version numbers, and the higher ones of the old agent made the news of the new one look old.
+#[test]
+fn a_process_follows_its_own_agent_and_not_that_of_the_other_process() {
+    let fixture = Fixture::new("agents", "pushed");
+    let (old_agent, new_agent) = (fixture.start_discovery(), fixture.start_discovery());
+    old_agent.set_version_without_notifying(500, all_up(&fixture.addresses));
+    let mut old = fixture.start(&old_agent);
+    let new = fixture.start(&new_agent);
+    // The change of the old agent is written by the old process, which the new one must not adopt.
+    let calls = new_agent.call_count();
+    old_agent.set(fixture.with_draining(1));
+    wait_for("the new process has asked its agent several times", || new_agent.call_count() > calls + 5);
+    new_agent.set(fixture.with_draining(0));
+    old.kill();
+    fixture.wait_until_unused(&new, 0);
+    assert!(fixture.gets_requests(&new, 1));
+}
+
 /// Guards against undue trust in the list of an earlier process: the platform may have configured a newer one since.
 #[test]
 fn a_configured_list_that_is_newer_than_the_stored_one_is_used() {
--- a/tests/unit/list_tracker.rs
+++ b/tests/unit/list_tracker.rs
@@ -3,7 +3,8 @@
 
 fn tracker(numbering: u64, version: Option<u64>) -> ListTracker {
     let position = ListPosition { numbering, version };
-    ListTracker::new(ListState { position, highest_version: version, source: source(1) })
+    let state = ListState { position, highest_version: version, source: source(1) };
+    ListTracker::new(state, DiscoveryMode::Push)
 }
 
 fn source(port: u16) -> SocketAddr {
