--- a/src/node/snapshot/shared_list.rs
+++ b/src/node/snapshot/shared_list.rs
@@ -33,8 +33,9 @@
 const PAUSE_FACTOR: u32 = 9;
 /// Upper bound of that pause. A process that was suspended while it wrote must not miss news for long.
 const MAX_PAUSE: Duration = Duration::from_millis(100);
-/// The pause before the next attempt to write while another process holds the lock.
-const LOCK_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// The pause before the next attempt to write, after one that failed or while another process holds the lock. It
+/// is short because the process may be killed at any time, and the list would be lost.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
 /// A content of the file that this process has read or written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,9 +47,9 @@
 /// What one comparison with the file resulted in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SyncOutcome {
-    /// The file has the list of this process, or cannot be written now.
+    /// The file has the list of this process, or a newer one.
     Done,
-    /// The file has an older list, but another process is writing one of the files.
+    /// The file has an older list, and could not be written: the write failed, or another process was writing.
     Retry,
 }
 
@@ -102,7 +103,7 @@
             let outcome = self.sync(&list, &driver);
             tokio::time::sleep((began_at.elapsed() * PAUSE_FACTOR).min(MAX_PAUSE)).await;
             match outcome {
-                SyncOutcome::Retry => tokio::time::sleep(LOCK_RETRY_PAUSE).await,
+                SyncOutcome::Retry => tokio::time::sleep(RETRY_PAUSE).await,
                 SyncOutcome::Done => {
                     tokio::select! {
                         _ = ticks.tick() => {}
@@ -182,11 +183,11 @@
         SyncOutcome::Done
     }
 
-    /// Logs the first of several failures in a row. The next comparison writes again.
+    /// Logs the first of several failures in a row.
     fn on_write_failure(&self, error: &dyn Display) -> SyncOutcome {
         if !self.is_failing.replace(true) {
             log::line(&format!("handover: cannot store the endpoint list: {error}"));
         }
-        SyncOutcome::Done
+        SyncOutcome::Retry
     }
 }
